The whole path, thin: daemon, command line, stand-ins

Cause: the repository was empty. Change: library with decisions free of I/O, daemon, operators' command line, stand-ins for platform and targets. Builds clean; not yet run end to end, no tests yet.

--- /dev/null
+++ b/include/knapweedchute/config/object_reader.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <knapweedchute/core/address.hpp>
+#include <knapweedchute/core/error.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace knapweedchute
+{
+
+/// \brief Every fault found in a document, each with its path.
+using fault_list = std::vector<error>;
+
+/// \brief Parses JSON text without exceptions.
+/// \param reason Filled when nothing is returned; `where` holds the byte offset.
+[[nodiscard]] auto parse_json(std::string_view text, error& reason) -> std::optional<nlohmann::json>;
+
+/// \brief Reads the keys of one JSON object and records every fault with its path.
+///
+/// \detail Missing keys, wrong types, values out of range and unknown keys are faults:
+/// \code
+/// auto reader = object_reader{json, "/services/0", faults};
+/// const auto name = reader.text("name");
+/// reader.finish();
+/// \endcode
+class object_reader
+{
+  public:
+    /// \param object Value that should be an object.
+    /// \param path   Path of the object, for faults.
+    /// \param faults List that receives the faults.
+    object_reader(const nlohmann::json& object, std::string path, fault_list& faults);
+
+    /// \name Required keys
+    /// @{
+    [[nodiscard]] auto text(std::string_view key) -> std::string;
+    [[nodiscard]] auto integer(std::string_view key, std::int64_t lowest, std::int64_t highest)
+        -> std::int64_t;
+    [[nodiscard]] auto endpoint(std::string_view key) -> address;
+    /// @}
+
+    /// \name Optional keys
+    /// @{
+    [[nodiscard]] auto text_or(std::string_view key, std::string fallback) -> std::string;
+    [[nodiscard]] auto integer_or(std::string_view key, std::int64_t lowest, std::int64_t highest,
+                                  std::int64_t fallback) -> std::int64_t;
+    [[nodiscard]] auto flag_or(std::string_view key, bool fallback) -> bool;
+    [[nodiscard]] auto endpoint_or(std::string_view key, address fallback) -> address;
+    /// @}
+
+    /// \brief Calls `visit` with each element of an array and its path; absent means empty.
+    auto each(std::string_view key,
+              const std::function<void(const nlohmann::json&, const std::string&)>& visit) -> void;
+
+    /// \brief The value of an optional key, or null.
+    [[nodiscard]] auto child(std::string_view key) -> const nlohmann::json*;
+
+    /// \brief Path of a key of this object.
+    [[nodiscard]] auto path_of(std::string_view key) const -> std::string;
+
+    /// \brief Records a fault at a key.
+    auto fault(std::string_view key, error_code code, std::string what) -> void;
+
+    /// \brief Records every key that was not read as unknown.
+    auto finish() -> void;
+
+  private:
+    [[nodiscard]] auto required(std::string_view key) -> const nlohmann::json*;
+
+    const nlohmann::json* object_;
+    std::string path_;
+    fault_list* faults_;
+    std::set<std::string, std::less<>> known_;
+};
+
+} // namespace knapweedchute
--- /dev/null
+++ b/include/knapweedchute/config/service_spec.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <knapweedchute/config/move_spec.hpp>
+#include <knapweedchute/config/version_spec.hpp>
+#include <knapweedchute/core/time.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace knapweedchute
+{
+
+/// \brief One service as the operators declare it.
+struct service_spec
+{
+    std::string name;                         ///< Name that callers use.
+    std::string workspace;                    ///< Workspace that owns the service.
+    std::string version;                      ///< Version that serves.
+    std::vector<version_spec> versions;       ///< Versions that exist.
+    std::optional<move_spec> move;            ///< Move in progress, if any.
+    std::int64_t connections_per_replica = 0; ///< Connections that one target accepts in all.
+    std::int64_t cold_requests = 0;           ///< Requests that a cold target bears at a time.
+    milliseconds warmup{0};                   ///< Time that a target needs from cold to warm.
+    std::int64_t minimum_coverage_permil = 0; ///< Lowest coverage answered, in thousandths.
+    milliseconds default_deadline{0};         ///< Deadline of a query that names none.
+
+    [[nodiscard]] auto operator==(const service_spec&) const -> bool = default;
+
+    /// \brief The declared version of this name, or null.
+    [[nodiscard]] auto find_version(std::string_view wanted) const noexcept -> const version_spec*;
+};
+
+} // namespace knapweedchute
--- /dev/null
+++ b/include/knapweedchute/core/log.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace knapweedchute
+{
+
+/// \brief Severity of a log line.
+enum class log_level
+{
+    debug,
+    info,
+    warning,
+    error
+};
+
+/// \brief Writes the lines of one part of the process, each with the part's prefix.
+///
+/// \detail A line is a short sentence followed by `key=value` pairs:
+/// \code
+/// knapweedchute::logger{"config"}.info("Configuration adopted.", {{"version", "7"}});
+/// \endcode
+class logger
+{
+  public:
+    /// \brief Pairs appended to a line.
+    using fields = std::initializer_list<std::pair<std::string_view, std::string>>;
+
+    /// \param part Fixed prefix, for example `config`.
+    explicit logger(std::string part);
+
+    auto info(std::string_view sentence, fields pairs = {}) const -> void;
+    auto warning(std::string_view sentence, fields pairs = {}) const -> void;
+    auto failure(std::string_view sentence, fields pairs = {}) const -> void;
+
+  private:
+    auto write(log_level level, std::string_view sentence, fields pairs) const -> void;
+
+    std::string part_;
+};
+
+/// \brief Sends all log lines to standard error.
+/// \param lowest Lines below this level are dropped.
+auto start_logging(log_level lowest) -> void;
+
+} // namespace knapweedchute
--- /dev/null
+++ b/include/knapweedchute/membership/outgoing.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <knapweedchute/membership/peer_message.hpp>
+
+namespace knapweedchute
+{
+
+/// \brief A datagram that a decision wants sent.
+struct outgoing
+{
+    address to;           ///< Receiver.
+    peer_message message; ///< Content.
+
+    [[nodiscard]] auto operator==(const outgoing&) const -> bool = default;
+};
+
+} // namespace knapweedchute
--- /dev/null
+++ b/include/knapweedchute/membership/ownership.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <knapweedchute/core/address.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace knapweedchute
+{
+
+/// \brief The place of an instance among those that share the connections of one target.
+struct target_share
+{
+    std::int64_t position = 0;    ///< Rank of the instance, from 0.
+    std::int64_t owners = 0;      ///< Instances that share the target; 0 if this one does not.
+    std::int64_t connections = 0; ///< Connections that the instance may hold.
+
+    [[nodiscard]] auto operator==(const target_share&) const -> bool = default;
+
+    /// \brief Part of `bearing` requests in flight that the instance may use.
+    [[nodiscard]] auto of(std::int64_t bearing) const noexcept -> std::int64_t;
+};
+
+/// \brief Divides the connections of a target among instances without a coordinator.
+///
+/// \detail Instances are ranked per target by a hash of both names (rendezvous hashing), so each
+///         works out the same owners from the same member list, and one arrival or departure
+///         moves few of them. Part of the limit stays unassigned, for instances that disagree.
+class ownership
+{
+  public:
+    /// \brief Instances beyond the known ones that the limit still covers.
+    static constexpr auto spare_owners = std::int64_t{3};
+
+    /// \brief Connections below which an owner is not useful.
+    static constexpr auto fewest_connections = std::int64_t{2};
+
+    /// \param instances Names of the serving instances, in any order.
+    explicit ownership(std::vector<std::string> instances);
+
+    /// \brief The instances that hold connections to a target, best rank first.
+    /// \param limit Connections that the target accepts in all.
+    [[nodiscard]] auto owners(const address& target, std::int64_t limit) const
+        -> std::vector<std::string>;
+
+    /// \brief The place of one instance among the owners of a target.
+    /// \param limit Connections that the target accepts in all.
+    [[nodiscard]] auto share(const std::string& instance, const address& target,
+                             std::int64_t limit) const -> target_share;
+
+  private:
+    [[nodiscard]] auto ranked(const address& target) const -> std::vector<std::string>;
+
+    std::vector<std::string> instances_;
+};
+
+} // namespace knapweedchute
--- /dev/null
+++ b/include/knapweedchute/runtime/query_instance.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <knapweedchute/runtime/admin_api.hpp>
+#include <knapweedchute/runtime/caller_api.hpp>
+#include <knapweedchute/runtime/peer_forwarder.hpp>
+#include <knapweedchute/runtime/peer_server.hpp>
+#include <knapweedchute/runtime/store_agent.hpp>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace knapweedchute
+{
+
+/// \brief One whole instance of the system: everything that the daemon runs.
+/// \code
+/// auto instance = query_instance{values, incarnation, gate};
+/// auto reason = error{};
+/// if (instance.start(reason)) { /* until a signal */ instance.stop(); }
+/// \endcode
+class query_instance
+{
+  public:
+    /// \param values      Settings of the process.
+    /// \param incarnation Number of this start, higher than at any earlier one.
+    /// \param gate        Ways that are cut in tests; outlives the instance.
+    query_instance(const settings& values, std::uint64_t incarnation, const network_gate& gate);
+    query_instance(const query_instance&) = delete;
+    auto operator=(const query_instance&) -> query_instance& = delete;
+    ~query_instance();
+
+    /// \brief Opens the addresses and starts to serve; false with a reason if it can not.
+    [[nodiscard]] auto start(error& reason) -> bool;
+
+    /// \brief Stops gracefully: leaves the address answers, serves until callers have let go of
+    ///        them, lets everything in progress finish.
+    auto stop() -> void;
+
+    /// \brief Shortens a stop in progress to what is in progress now.
+    auto hurry() -> void { hurry_ = true; }
+
+    [[nodiscard]] auto configuration_version() const -> std::uint64_t { return holder_.version(); }
+    [[nodiscard]] auto counters() const noexcept -> const counter_set& { return counters_; }
+    [[nodiscard]] auto members() const -> std::vector<member> { return peers_.members(); }
+
+  private:
+    auto reconfigure() -> void;
+    [[nodiscard]] auto serve_peer(const peer_call& call) -> peer_reply;
+    [[nodiscard]] auto search_for_peer(const peer_call& call) -> std::optional<query_answer>;
+    auto wait_while_serving(milliseconds time) -> void;
+
+    settings settings_;
+    counter_set counters_;
+    envelope codec_;
+    configuration_holder holder_;
+    peer_caller caller_;
+    peer_forwarder forwarder_;
+    query_engine engine_;
+    std::mutex reconfigure_mutex_;
+    peer_agent peers_;
+    store_agent store_;
+    caller_api caller_api_;
+    admin_api admin_api_;
+    std::atomic<bool> hurry_{false};
+    std::atomic<bool> stopped_{false};
+    std::unique_ptr<peer_server> peer_server_;
+    std::unique_ptr<http_server> caller_server_;
+    std::unique_ptr<http_server> admin_server_;
+};
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/config/settings_reader.cpp
@@ -0,0 +1,85 @@
+#include <knapweedchute/config/settings_reader.hpp>
+
+namespace knapweedchute
+{
+namespace
+{
+
+constexpr auto shortest_key = std::size_t{16};
+constexpr auto most_threads = std::int64_t{64};
+constexpr auto most_queries = std::int64_t{1'000'000};
+constexpr auto largest_body = std::int64_t{1'048'576};
+constexpr auto longest_period_ms = std::int64_t{600'000};
+
+auto read_key(object_reader& reader, std::string_view name) -> std::string
+{
+    auto key = reader.text(name);
+    if (!key.empty() && key.size() < shortest_key)
+    {
+        reader.fault(name, error_code::invalid_value, "expected at least 16 characters");
+    }
+    return key;
+}
+
+auto read_name(object_reader& reader, std::string_view name) -> std::string
+{
+    constexpr auto longest_name = std::size_t{64};
+    auto value = reader.text(name);
+    if (value.find('.') != std::string::npos || value.size() > longest_name)
+    {
+        reader.fault(name, error_code::invalid_value, "expected up to 64 characters, no dots");
+    }
+    return value;
+}
+
+} // namespace
+
+auto settings_reader::read(std::string_view text) -> std::optional<settings>
+{
+    faults_.clear();
+    auto reason = error{};
+    const auto json = parse_json(text, reason);
+    if (!json)
+    {
+        faults_.push_back(reason);
+        return std::nullopt;
+    }
+    auto reader = object_reader{*json, "", faults_};
+    const auto period = [&](std::string_view key, std::int64_t fallback) {
+        return milliseconds{reader.integer_or(key, 1, longest_period_ms, fallback)};
+    };
+    auto value = settings{};
+    value.instance = read_name(reader, "instance");
+    value.availability_zone = reader.text("availability_zone");
+    value.deployment = reader.text("deployment");
+    value.key = read_key(reader, "key");
+    value.operator_key = read_key(reader, "operator_key");
+    value.caller_address = reader.endpoint("caller_address");
+    value.admin_address = reader.endpoint("admin_address");
+    value.peer_address = reader.endpoint("peer_address");
+    value.platform_address = reader.endpoint("platform_address");
+    reader.each("seeds", [&](const auto& element, const auto& path) {
+        const auto seed = element.is_string()
+                              ? parse_address(element.template get<std::string>(), reason)
+                              : std::nullopt;
+        if (!seed)
+        {
+            faults_.push_back({error_code::invalid_value, path, "expected IP:PORT"});
+            return;
+        }
+        value.seeds.push_back(*seed);
+    });
+    value.worker_threads = reader.integer_or("worker_threads", 1, most_threads, 2);
+    value.http_threads = reader.integer_or("http_threads", 1, most_threads, 2);
+    value.most_queries = reader.integer_or("most_queries", 1, most_queries, 2'000);
+    value.largest_body = reader.integer_or("largest_body", 1, largest_body, 65'536);
+    value.store_readers = reader.integer_or("store_readers", 1, 8, 2);
+    value.probe_period = period("probe_period_ms", 500);
+    value.store_period = period("store_period_ms", 1'000);
+    value.address_lifetime = period("address_lifetime_ms", 5'000);
+    value.freshness_limit = period("freshness_limit_ms", 5'000);
+    reader.finish();
+    return faults_.empty() ? std::optional{std::move(value)} : std::nullopt;
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/query/hedge_policy.cpp
@@ -0,0 +1,45 @@
+#include <knapweedchute/query/hedge_policy.hpp>
+
+#include <algorithm>
+
+namespace knapweedchute
+{
+namespace
+{
+
+constexpr auto shortest_delay = std::chrono::microseconds{500};
+constexpr auto medians_in_delay = std::int64_t{2};
+constexpr auto general_share = 0.25;
+constexpr auto share_weight = 1.0 / 64.0;
+constexpr auto general_rise = std::int64_t{2};
+
+} // namespace
+
+hedge_policy::hedge_policy(bool enabled) noexcept : enabled_{enabled} {}
+
+auto hedge_policy::on_answer(duration latency) -> void
+{
+    window_.add(latency);
+}
+
+auto hedge_policy::on_delay_reached(bool reached) noexcept -> void
+{
+    reached_share_ += ((reached ? 1.0 : 0.0) - reached_share_) * share_weight;
+}
+
+auto hedge_policy::delay() const noexcept -> std::optional<duration>
+{
+    if (!enabled_ || !window_.ready())
+    {
+        return std::nullopt;
+    }
+    return std::max({duration{shortest_delay}, window_.median() * medians_in_delay, window_.high()});
+}
+
+auto hedge_policy::slowness_general() const noexcept -> bool
+{
+    return reached_share_ > general_share ||
+           window_.median() > window_.usual_median() * general_rise;
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/query/target_codec.cpp
@@ -0,0 +1,135 @@
+#include <knapweedchute/query/target_codec.hpp>
+
+#include <knapweedchute/config/object_reader.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace knapweedchute
+{
+namespace
+{
+
+constexpr auto any_number = std::numeric_limits<std::int64_t>::max();
+
+auto remaining_ms(time_point deadline, time_point now) -> std::int64_t
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(deadline - now).count();
+    return std::max<std::int64_t>(left, 1);
+}
+
+auto read_place(object_reader& reader) -> served_shard
+{
+    const auto snapshot = reader.integer("snapshot", 0, any_number);
+    const auto shards = reader.integer("shards", 1, most_shards);
+    const auto shard = reader.integer("shard", 0, std::max<std::int64_t>(shards - 1, 0));
+    return {static_cast<std::uint64_t>(snapshot), static_cast<std::uint32_t>(shards),
+            static_cast<std::uint32_t>(shard)};
+}
+
+} // namespace
+
+auto encode_part(const send_part& part, time_point now) -> std::string
+{
+    return nlohmann::json{{"attempt", part.attempt},
+                          {"snapshot", part.source.snapshot},
+                          {"shards", part.source.shards},
+                          {"shard", part.source.shard},
+                          {"text", part.text},
+                          {"top", part.top},
+                          {"deadline_ms", remaining_ms(part.deadline, now)}}
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+auto encode_run(const send_run& run, time_point now) -> std::string
+{
+    return nlohmann::json{{"id", run.id},
+                          {"key", run.key},
+                          {"shard", run.shard},
+                          {"document", run.document},
+                          {"deadline_ms", remaining_ms(run.deadline, now)}}
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+auto decode_part_answer(std::string_view body, error& reason) -> std::optional<part_answer>
+{
+    const auto json = parse_json(body, reason);
+    if (!json)
+    {
+        return std::nullopt;
+    }
+    auto faults = fault_list{};
+    auto reader = object_reader{*json, "", faults};
+    auto answer = part_answer{};
+    answer.source = read_place(reader);
+    answer.attempt = static_cast<std::uint64_t>(reader.integer("attempt", 0, any_number));
+    answer.incarnation = static_cast<std::uint64_t>(reader.integer("incarnation", 0, any_number));
+    answer.leaving = reader.flag_or("leaving", false);
+    reader.each("hits", [&](const auto& element, const auto& path) {
+        auto item = object_reader{element, path, faults};
+        const auto* score = item.child("score");
+        const auto numeric = score != nullptr && score->is_number();
+        if (!numeric)
+        {
+            item.fault("score", error_code::invalid_value, "expected a number");
+        }
+        answer.hits.push_back({item.text("document"), numeric ? score->template get<double>() : 0.0,
+                               item.text_or("text", {})});
+    });
+    if (!reader.flag_or("end", false))
+    {
+        reader.fault("end", error_code::malformed, "the answer is not whole");
+    }
+    if (!faults.empty())
+    {
+        reason = faults.front();
+        return std::nullopt;
+    }
+    return answer;
+}
+
+auto decode_target_report(std::string_view body, error& reason) -> std::optional<target_report>
+{
+    const auto json = parse_json(body, reason);
+    if (!json)
+    {
+        return std::nullopt;
+    }
+    auto faults = fault_list{};
+    auto reader = object_reader{*json, "", faults};
+    auto report = target_report{};
+    report.incarnation = static_cast<std::uint64_t>(reader.integer("incarnation", 0, any_number));
+    report.uptime = milliseconds{reader.integer("uptime_ms", 0, any_number / 1'000'000)};
+    report.leaving = reader.flag_or("leaving", false);
+    reader.each("serving", [&](const auto& element, const auto& path) {
+        auto item = object_reader{element, path, faults};
+        report.serving.push_back(read_place(item));
+    });
+    if (!faults.empty())
+    {
+        reason = faults.front();
+        return std::nullopt;
+    }
+    return report;
+}
+
+auto decode_target_refusal(std::string_view body) -> attempt_failure
+{
+    auto reason = error{};
+    const auto json = parse_json(body, reason);
+    const auto name = json && json->is_object() && json->contains("refusal") &&
+                              json->at("refusal").is_string()
+                          ? json->at("refusal").get<std::string>()
+                          : std::string{};
+    for (const auto failure :
+         {attempt_failure::shed, attempt_failure::leaving, attempt_failure::snapshot_gone})
+    {
+        if (name == to_string(failure))
+        {
+            return failure;
+        }
+    }
+    return attempt_failure::failed;
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/runtime/http_client.cpp
@@ -0,0 +1,69 @@
+#include <knapweedchute/runtime/http_client.hpp>
+
+#include <curl/curl.h>
+
+#include <mutex>
+
+namespace knapweedchute
+{
+namespace
+{
+
+auto append_body(char* data, std::size_t size, std::size_t count, void* target) -> std::size_t
+{
+    static_cast<std::string*>(target)->append(data, size * count);
+    return size * count;
+}
+
+} // namespace
+
+auto http_client::handle_closer::operator()(void* handle) const noexcept -> void
+{
+    curl_easy_cleanup(handle);
+}
+
+http_client::http_client()
+{
+    static auto once = std::once_flag{};
+    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+    handle_.reset(curl_easy_init());
+}
+
+auto http_client::perform(const http_request& request, error& reason)
+    -> std::optional<http_response>
+{
+    auto* handle = handle_.get();
+    curl_easy_reset(handle);
+    auto response = http_response{};
+    auto* lines = static_cast<curl_slist*>(nullptr);
+    for (const auto& line : request.headers)
+    {
+        lines = curl_slist_append(lines, line.c_str());
+    }
+    lines = curl_slist_append(lines, "Expect:");
+    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, lines);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, append_body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
+    if (!request.body.empty())
+    {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+    }
+    const auto result = curl_easy_perform(handle);
+    curl_slist_free_all(lines);
+    if (result != CURLE_OK)
+    {
+        const auto unsent = result == CURLE_COULDNT_CONNECT;
+        reason = {unsent ? error_code::store_unavailable : error_code::outcome_unknown,
+                  request.url, curl_easy_strerror(result)};
+        return std::nullopt;
+    }
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &response.status);
+    return response;
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/runtime/peer_stream.cpp
@@ -0,0 +1,136 @@
+#include <knapweedchute/runtime/peer_stream.hpp>
+
+#include <knapweedchute/runtime/peer_call.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace knapweedchute
+{
+namespace
+{
+
+constexpr auto length_bytes = std::size_t{4};
+constexpr auto chunk_bytes = std::size_t{65'536};
+
+auto wait_for(int socket, short events, time_point deadline) -> bool
+{
+    auto wanted = pollfd{socket, events, 0};
+    const auto left = std::chrono::ceil<milliseconds>(deadline - steady_clock::now()).count();
+    return left > 0 && poll(&wanted, 1, static_cast<int>(left)) == 1;
+}
+
+} // namespace
+
+peer_stream::peer_stream(file_descriptor socket) : socket_{std::move(socket)} {}
+
+auto peer_stream::connect(const address& peer, milliseconds timeout) -> std::optional<peer_stream>
+{
+    auto socket =
+        file_descriptor{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+    const auto one = 1;
+    setsockopt(socket.value(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    auto target = sockaddr_in{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(peer.port);
+    target.sin_addr.s_addr = htonl(peer.ip);
+    const auto result =
+        ::connect(socket.value(), reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    if (result != 0 && errno != EINPROGRESS)
+    {
+        return std::nullopt;
+    }
+    if (!wait_for(socket.value(), POLLOUT, steady_clock::now() + timeout))
+    {
+        return std::nullopt;
+    }
+    auto failure = 0;
+    auto size = socklen_t{sizeof(failure)};
+    getsockopt(socket.value(), SOL_SOCKET, SO_ERROR, &failure, &size);
+    return failure == 0 ? std::optional{peer_stream{std::move(socket)}} : std::nullopt;
+}
+
+auto peer_stream::send(const std::string& content, milliseconds timeout) -> bool
+{
+    const auto deadline = steady_clock::now() + timeout;
+    const auto length = htonl(static_cast<std::uint32_t>(content.size()));
+    auto bytes = std::string(length_bytes, '\0');
+    std::memcpy(bytes.data(), &length, length_bytes);
+    bytes += content;
+    auto sent = std::size_t{0};
+    while (sent < bytes.size())
+    {
+        const auto count =
+            ::send(socket_.value(), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (count > 0)
+        {
+            sent += static_cast<std::size_t>(count);
+            continue;
+        }
+        const auto full = count < 0 && (errno == EAGAIN || errno == EINTR);
+        if (!full || !wait_for(socket_.value(), POLLOUT, deadline))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+auto peer_stream::receive(milliseconds timeout) -> std::optional<std::string>
+{
+    const auto deadline = steady_clock::now() + timeout;
+    const auto header = receive_bytes(length_bytes, deadline);
+    if (!header)
+    {
+        return std::nullopt;
+    }
+    auto length = std::uint32_t{0};
+    std::memcpy(&length, header->data(), length_bytes);
+    length = ntohl(length);
+    auto content =
+        length <= largest_peer_frame ? receive_bytes(length, deadline) : std::nullopt;
+    closed_ = closed_ || !content;
+    return content;
+}
+
+auto peer_stream::idle() const noexcept -> bool
+{
+    auto byte = char{0};
+    const auto received = recv(socket_.value(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && errno == EAGAIN;
+}
+
+auto peer_stream::receive_bytes(std::size_t count, time_point deadline)
+    -> std::optional<std::string>
+{
+    auto bytes = std::string{};
+    auto chunk = std::array<char, chunk_bytes>{};
+    while (bytes.size() < count)
+    {
+        const auto wanted = std::min(chunk.size(), count - bytes.size());
+        const auto received = recv(socket_.value(), chunk.data(), wanted, 0);
+        if (received > 0)
+        {
+            bytes.append(chunk.data(), static_cast<std::size_t>(received));
+            continue;
+        }
+        const auto empty = received < 0 && (errno == EAGAIN || errno == EINTR);
+        if (!empty || !wait_for(socket_.value(), POLLIN, deadline))
+        {
+            closed_ = closed_ || !empty || !bytes.empty();
+            return std::nullopt;
+        }
+    }
+    return bytes;
+}
+
+} // namespace knapweedchute
