--- a/include/knapweedchute/membership/ownership.hpp
+++ b/include/knapweedchute/membership/ownership.hpp
@@ -25,17 +25,15 @@
 ///
 /// \detail Instances are ranked per target by a hash of both names (rendezvous hashing), so each
 ///         works out the same owners from the same member list, and one arrival or departure
-///         moves few of them. Part of the limit stays unassigned, for instances that disagree.
+///         moves few of them. Instances that are believed dead keep their share until they are
+///         forgotten, so two halves of a cut never use more than the limit together.
 class ownership
 {
 public:
-    /// \brief Instances beyond the known ones that the limit still covers.
-    static constexpr auto spare_owners = std::int64_t{3};
-
     /// \brief Connections below which an owner is not useful.
     static constexpr auto fewest_connections = std::int64_t{2};
 
-    /// \param instances Names of the serving instances, in any order.
+    /// \param instances Names of all instances that may hold connections, in any order.
     explicit ownership(std::vector<std::string> instances);
 
     /// \brief The instances that hold connections to a target, best rank first.
--- a/include/knapweedchute/query/admission_control.hpp
+++ b/include/knapweedchute/query/admission_control.hpp
@@ -11,9 +11,11 @@
 
 /// \brief Refuses the queries of least worth while there are more than can be answered in time.
 ///
-/// \detail The accepted share of the offered load falls while finished queries take too much of
-///         their deadline and rises slowly otherwise. Within the share the highest worth goes
-///         first, measured against the worth offered lately.
+/// \detail The accepted share of the offered load is steered so that queries are expected to take
+///         a quarter of their deadline: room for the slowest, without idle targets. The expected
+///         time follows from what is in progress, so it shows an overload before its queries end.
+///         Within the share the highest worth goes first, measured against the worth offered
+///         lately.
 class admission_control
 {
 public:
@@ -24,14 +26,14 @@
     /// \brief Whether to accept a query.
     [[nodiscard]] auto admit(double worth, std::size_t in_progress, time_point now) -> bool;
 
-    /// \brief A query finished after `spent` of its `allowed` time.
-    auto on_finished(duration spent, duration allowed, bool complete) noexcept -> void;
+    /// \brief A query finished that was allowed so much time.
+    auto on_finished(duration allowed) noexcept -> void;
 
     /// \brief Share of the offered queries that is accepted.
     [[nodiscard]] auto accepted_share() const noexcept -> double { return share_; }
 
 private:
-    auto adjust(time_point now) -> void;
+    auto adjust(std::size_t in_progress, time_point now) -> void;
     [[nodiscard]] auto share_above(double worth) const -> double;
     [[nodiscard]] auto share_equal(double worth) const -> double;
 
@@ -41,7 +43,8 @@
     std::size_t next_offered_ = 0;
     double share_ = 1.0;
     std::size_t finished_ = 0;
-    std::size_t late_ = 0;
+    double allowed_seconds_ = 0.0;
+    double finish_rate_ = 0.0;
     time_point adjusted_;
 };
 
--- a/include/knapweedchute/query/query_coordinator.hpp
+++ b/include/knapweedchute/query/query_coordinator.hpp
@@ -114,8 +114,8 @@
         [[nodiscard]] auto operator>(const timer& other) const -> bool { return when > other.when; }
     };
 
-    /// Parts that wait for a place at a replica of one shard, the highest worth first.
-    using waiting_list = std::multimap<double, query_key, std::greater<>>;
+    /// Parts that wait for a place at a replica of one shard, the earliest deadline first.
+    using waiting_list = std::multimap<time_point, query_key>;
 
     [[nodiscard]] auto choose_version() -> std::string;
     auto begin(query_key key, impl::query_progress progress, time_point now, action_list& actions)
--- a/include/knapweedchute/query/request_policy.hpp
+++ b/include/knapweedchute/query/request_policy.hpp
@@ -17,6 +17,7 @@
     std::size_t most_attempts = 3;            ///< Attempts per part, the first included.
     std::size_t failures_to_eject = 3;        ///< Failures in a row before ejection.
     duration ejection = seconds{5};           ///< First ejection; grows with repetition.
+    duration share_hold = seconds{2};         ///< Delay before a larger share is used.
     duration zone_penalty = milliseconds{1};  ///< Cost of leaving the own availability zone.
     duration answer_margin = milliseconds{2}; ///< Time kept for the way back to the caller.
 
--- a/include/knapweedchute/query/service_view.hpp
+++ b/include/knapweedchute/query/service_view.hpp
@@ -14,6 +14,7 @@
     service_spec service;            ///< As declared.
     std::set<std::string> zones_out; ///< Availability zones that are taken out.
     std::string instance;            ///< Name of this instance.
+    std::set<std::string> serving;   ///< Instances that serve now.
     ownership sharing;               ///< Who uses which target.
 };
 
--- a/include/knapweedchute/query/target_state.hpp
+++ b/include/knapweedchute/query/target_state.hpp
@@ -5,6 +5,7 @@
 #include <knapweedchute/query/target_report.hpp>
 #include <knapweedchute/query/warmup_limiter.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 #include <utility>
@@ -24,6 +25,8 @@
 
     target_spec spec;                        ///< As declared.
     target_share share;                      ///< Connections that this instance may use.
+    target_share next_share;                 ///< Share after the latest change of instances.
+    time_point next_share_from;              ///< When `next_share` replaces `share`.
     std::vector<std::string> owners;         ///< Instances that may use it, best rank first.
     bool declared = true;                    ///< Whether the configuration still names it.
     bool zone_out = false;                   ///< Whether its availability zone is taken out.
@@ -45,9 +48,13 @@
     }
 
     /// \brief Attempts that this instance may have in progress.
+    /// \detail Shares shrink at once and grow only after the hold, when all instances have heard
+    ///         of the change and those that give have given.
     [[nodiscard]] auto allowance(time_point now) const noexcept -> std::int64_t
     {
-        return share.of(warmup.bearing(now));
+        const auto bearing = warmup.bearing(now);
+        const auto next = next_share.of(bearing);
+        return now >= next_share_from ? next : std::min(share.of(bearing), next);
     }
 };
 
--- a/include/knapweedchute/query/target_table.hpp
+++ b/include/knapweedchute/query/target_table.hpp
@@ -33,7 +33,7 @@
 
     /// \name Events
     /// @{
-    auto configure(const service_view& view) -> void;
+    auto configure(const service_view& view, time_point now) -> void;
     auto on_report(const address& where, const target_report& report, time_point now) -> void;
     auto on_sent(target_state& target) -> void;
     auto on_answer(target_state& target, const part_answer& answer, duration latency,
@@ -86,6 +86,8 @@
     [[nodiscard]] auto ejected(const target_state& target, time_point now) const noexcept -> bool;
     [[nodiscard]] auto snapshots(const std::string& version) -> const snapshot_list&;
     [[nodiscard]] auto build_snapshots(const std::string& version) const -> snapshot_list;
+    auto change_share(target_state& target, const target_share& share, time_point now) const
+        -> void;
     auto mark_leaving(target_state& target, time_point now) -> void;
     auto blame(target_state& target, time_point now) -> void;
     auto eject(target_state& target, time_point now) -> void;
@@ -96,6 +98,7 @@
     std::mt19937_64 random_;
     service_spec service_;
     std::string instance_;
+    std::set<std::string> serving_;
     std::map<address, std::shared_ptr<target_state>> targets_;
     std::map<std::string, snapshot_list> snapshots_;
     std::vector<target_state*> scratch_;
--- a/include/knapweedchute/runtime/peer_agent.hpp
+++ b/include/knapweedchute/runtime/peer_agent.hpp
@@ -86,7 +86,7 @@
     datagram_socket socket_;
     mutable std::mutex mutex_;
     membership membership_;
-    std::vector<std::string> serving_;
+    std::vector<std::string> known_;
     std::mutex fetch_mutex_;
     std::condition_variable fetch_wanted_;
     std::optional<address> fetch_from_;
--- a/include/knapweedchute/runtime/query_engine.hpp
+++ b/include/knapweedchute/runtime/query_engine.hpp
@@ -2,6 +2,7 @@
 
 #include <knapweedchute/config/configuration_holder.hpp>
 #include <knapweedchute/config/settings.hpp>
+#include <knapweedchute/membership/member.hpp>
 #include <knapweedchute/query/admission_control.hpp>
 #include <knapweedchute/query/run_ledger.hpp>
 #include <knapweedchute/runtime/forwarder.hpp>
@@ -34,8 +35,8 @@
     auto operator=(const query_engine&) -> query_engine& = delete;
     ~query_engine();
 
-    /// \brief Takes a configuration and the serving instances in force.
-    auto configure(const configuration& accepted, const std::vector<std::string>& serving) -> void;
+    /// \brief Takes a configuration and the known instances in force.
+    auto configure(const configuration& accepted, const std::vector<member>& members) -> void;
 
     /// \name Requests
     /// @{
--- a/src/membership/ownership.cpp
+++ b/src/membership/ownership.cpp
@@ -29,7 +29,7 @@
 
 auto ownership::owners(const address& target, std::int64_t limit) const -> std::vector<std::string>
 {
-    const auto useful = std::max<std::int64_t>(limit / fewest_connections - spare_owners, 1);
+    const auto useful = std::max<std::int64_t>(limit / fewest_connections, 1);
     auto list = ranked(target);
     list.resize(std::min(list.size(), static_cast<std::size_t>(useful)));
     return list;
@@ -44,8 +44,9 @@
         return {};
     }
     const auto count = static_cast<std::int64_t>(holders.size());
-    const auto connections = std::max<std::int64_t>(limit / (count + spare_owners), 1);
-    return {found - holders.begin(), count, connections};
+    const auto position = found - holders.begin();
+    const auto connections = limit / count + (position < limit % count ? 1 : 0);
+    return {position, count, connections};
 }
 
 auto ownership::ranked(const address& target) const -> std::vector<std::string>
--- a/src/query/admission_control.cpp
+++ b/src/query/admission_control.cpp
@@ -7,11 +7,11 @@
 
 constexpr auto remembered_offers = std::size_t{256};
 constexpr auto adjust_interval = milliseconds{50};
-constexpr auto late_part_of_deadline = 0.5;
-constexpr auto tolerated_late_share = 0.02;
-constexpr auto fall = 0.9;
-constexpr auto rise = 0.01;
+constexpr auto wanted_part_of_deadline = 0.25;
+constexpr auto gain = 0.05;
+constexpr auto steepest_step = 0.05;
 constexpr auto lowest_share = 0.02;
+constexpr auto rate_weight = 0.3;
 
 } // namespace
 
@@ -22,7 +22,7 @@
 
 auto admission_control::admit(double worth, std::size_t in_progress, time_point now) -> bool
 {
-    adjust(now);
+    adjust(in_progress, now);
     if (offered_.size() < remembered_offers) {
         offered_.push_back(worth);
     } else {
@@ -41,25 +41,33 @@
     return above < share_ && unit(random_) < (share_ - above) / equal;
 }
 
-auto admission_control::on_finished(duration spent, duration allowed, bool complete) noexcept
-    -> void
+auto admission_control::on_finished(duration allowed) noexcept -> void
 {
-    const auto part = static_cast<double>(spent.count()) / static_cast<double>(allowed.count());
     finished_ += 1;
-    late_ += !complete || part > late_part_of_deadline ? 1 : 0;
+    allowed_seconds_ += std::chrono::duration<double>(allowed).count();
 }
 
-auto admission_control::adjust(time_point now) -> void
+auto admission_control::adjust(std::size_t in_progress, time_point now) -> void
 {
-    if (now - adjusted_ < adjust_interval || finished_ == 0) {
+    const auto elapsed = now - adjusted_;
+    if (elapsed < adjust_interval) {
         return;
     }
-    const auto late_share = static_cast<double>(late_) / static_cast<double>(finished_);
-    const auto overloaded = late_share > tolerated_late_share;
-    share_ = overloaded ? std::max(share_ * fall, lowest_share) : std::min(share_ + rise, 1.0);
     adjusted_ = now;
+    if (finished_ == 0) {
+        return;
+    }
+    const auto count = static_cast<double>(finished_);
+    const auto rate = count / std::chrono::duration<double>(elapsed).count();
+    finish_rate_ += (rate - finish_rate_) * (finish_rate_ == 0.0 ? 1.0 : rate_weight);
+    // Little's law: what is in progress, over the rate at which it finishes.
+    const auto expected = static_cast<double>(in_progress) / finish_rate_;
+    const auto part = expected / (allowed_seconds_ / count);
+    const auto distance = (wanted_part_of_deadline - part) / wanted_part_of_deadline;
+    share_ *= 1.0 + std::clamp(gain * distance, -steepest_step, steepest_step);
+    share_ = std::clamp(share_, lowest_share, 1.0);
     finished_ = 0;
-    late_ = 0;
+    allowed_seconds_ = 0.0;
 }
 
 auto admission_control::share_above(double worth) const -> double
--- a/src/query/query_coordinator.cpp
+++ b/src/query/query_coordinator.cpp
@@ -18,7 +18,7 @@
 auto query_coordinator::configure(const service_view& view, time_point now) -> action_list
 {
     service_ = view.service;
-    table_.configure(view);
+    table_.configure(view, now);
     return tick(now);
 }
 
--- a/src/query/query_dispatch.cpp
+++ b/src/query/query_dispatch.cpp
@@ -154,7 +154,7 @@
     }
     part.queued = true;
     const auto shards = static_cast<std::uint32_t>(progress.map->replicas.size());
-    waiting_[{progress.map->snapshot, shards, shard}].emplace(progress.request.worth, key);
+    waiting_[{progress.map->snapshot, shards, shard}].emplace(progress.request.deadline, key);
     ++waiting_count_;
 }
 
@@ -326,7 +326,8 @@
     }
     hedges_.on_delay_reached(true);
     const auto running = attempts_.find(part.live.front());
-    if (hedges_.slowness_general() || !running->second.target) {
+    // A free place goes to a part that waits before it goes to a second copy of another.
+    if (waiting_count_ > 0 || hedges_.slowness_general() || !running->second.target) {
         return;
     }
     part.hedged = true;
--- a/src/query/target_table.cpp
+++ b/src/query/target_table.cpp
@@ -25,10 +25,11 @@
 {
 }
 
-auto target_table::configure(const service_view& view) -> void
+auto target_table::configure(const service_view& view, time_point now) -> void
 {
     service_ = view.service;
     instance_ = view.instance;
+    serving_ = view.serving;
     for (auto& [where, target] : targets_) {
         target->declared = false;
     }
@@ -44,7 +45,7 @@
             target->declared = true;
             target->zone_out = view.zones_out.contains(spec.availability_zone);
             target->owners = view.sharing.owners(spec.where, limit);
-            target->share = view.sharing.share(instance_, spec.where, limit);
+            change_share(*target, view.sharing.share(instance_, spec.where, limit), now);
         }
     }
     std::erase_if(targets_, [](const auto& item) {
@@ -61,7 +62,8 @@
         return;
     }
     auto& target = *found->second;
-    const auto restarted = !target.report || target.report->incarnation != report.incarnation;
+    const auto restarted = !target.report || target.report->incarnation != report.incarnation ||
+                           report.uptime < target.report->uptime;
     if (restarted) {
         target.warmup.restart(now, report.uptime);
         target.leaving = false;
@@ -175,7 +177,7 @@
             const auto skip = !even_ejected && ejected(*target, now);
             all_ejected = all_ejected && (!usable || skip);
             const auto limit =
-                policy_.limit_cold ? target->allowance(now) : target->share.connections;
+                policy_.limit_cold ? target->allowance(now) : target->next_share.connections;
             const auto cold = for_hedge && target->warmup.warming(now);
             if (usable && !skip && !cold && target->in_flight < limit) {
                 scratch_.push_back(target.get());
@@ -216,7 +218,7 @@
         const auto count = static_cast<std::int64_t>(target->owners.size());
         for (auto position = std::int64_t{0}; position < std::min(count, bearing); ++position) {
             const auto& owner = target->owners[static_cast<std::size_t>(position)];
-            if (owner != instance_) {
+            if (owner != instance_ && serving_.contains(owner)) {
                 names.push_back(owner);
             }
         }
@@ -267,6 +269,19 @@
     return list;
 }
 
+auto target_table::change_share(target_state& target, const target_share& share,
+                                time_point now) const -> void
+{
+    if (share == target.next_share) {
+        return;
+    }
+    if (now >= target.next_share_from) {
+        target.share = target.next_share;
+    }
+    target.next_share = share;
+    target.next_share_from = now + policy_.share_hold;
+}
+
 auto target_table::mark_leaving(target_state& target, time_point now) -> void
 {
     target.leaving = true;
--- a/src/runtime/peer_agent.cpp
+++ b/src/runtime/peer_agent.cpp
@@ -191,17 +191,17 @@
 
 auto peer_agent::note_members() -> void
 {
-    auto serving = std::vector<std::string>{};
+    auto known_now = std::vector<std::string>{};
     for (const auto& known : members()) {
-        if (known.serving()) {
-            serving.push_back(known.instance);
+        if (known.state != member_state::left) {
+            known_now.push_back(known.instance + (known.serving() ? "" : " dead"));
         }
     }
-    if (serving == serving_) {
+    if (known_now == known_) {
         return;
     }
-    serving_ = std::move(serving);
-    log_line.info("Serving instances changed.", {{"count", std::to_string(serving_.size())}});
+    known_ = std::move(known_now);
+    log_line.info("Known instances changed.", {{"count", std::to_string(known_.size())}});
     changed_();
 }
 
--- a/src/runtime/query_engine.cpp
+++ b/src/runtime/query_engine.cpp
@@ -13,7 +13,7 @@
 constexpr auto id_lifetime = std::chrono::minutes{10};
 
 auto view_of(const configuration& accepted, const service_spec& service,
-             const std::string& instance, const std::vector<std::string>& serving) -> service_view
+             const std::string& instance, const std::vector<member>& members) -> service_view
 {
     auto zones_out = std::set<std::string>{};
     for (const auto& zone : accepted.file.availability_zones) {
@@ -21,7 +21,19 @@
             zones_out.insert(zone.name);
         }
     }
-    return {service, std::move(zones_out), instance, ownership{serving}};
+    auto holders = std::vector<std::string>{};
+    auto serving = std::set<std::string>{};
+    for (const auto& known : members) {
+        // Those believed dead may live on the other side of a cut and keep their share.
+        if (known.state != member_state::left) {
+            holders.push_back(known.instance);
+        }
+        if (known.serving()) {
+            serving.insert(known.instance);
+        }
+    }
+    return {service, std::move(zones_out), instance, std::move(serving),
+            ownership{std::move(holders)}};
 }
 
 } // namespace
@@ -46,12 +58,12 @@
     workers_.clear();
 }
 
-auto query_engine::configure(const configuration& accepted, const std::vector<std::string>& serving)
+auto query_engine::configure(const configuration& accepted, const std::vector<member>& members)
     -> void
 {
     for (const auto& service : accepted.file.services) {
         auto& slot = lane_for(service.name);
-        auto view = view_of(accepted, service, settings_.instance, serving);
+        auto view = view_of(accepted, service, settings_.instance, members);
         workers_[slot.worker]->post([lane = slot.lane.get(), view = std::move(view)] {
             lane->configure(view, steady_clock::now());
         });
@@ -200,7 +212,7 @@
         if (is_search) {
             const auto allowed = std::max<duration>(deadline - started, milliseconds{1});
             const auto lock = std::lock_guard{admission_mutex_};
-            admission_.on_finished(steady_clock::now() - started, allowed, true);
+            admission_.on_finished(allowed);
         }
         done(std::move(result));
     };
--- a/src/runtime/query_instance.cpp
+++ b/src/runtime/query_instance.cpp
@@ -112,13 +112,7 @@
     if (!accepted) {
         return;
     }
-    auto serving = std::vector<std::string>{};
-    for (const auto& known : peers_.members()) {
-        if (known.serving()) {
-            serving.push_back(known.instance);
-        }
-    }
-    engine_.configure(*accepted, serving);
+    engine_.configure(*accepted, peers_.members());
 }
 
 auto query_instance::serve_peer(const peer_call& call) -> peer_reply
--- a/src/runtime/service_lane.cpp
+++ b/src/runtime/service_lane.cpp
@@ -264,7 +264,7 @@
     {
         const auto lock = std::lock_guard{mutex_};
         for (const auto& [where, target] : coordinator_.targets().targets()) {
-            if (target->share.owners > 0 && !probes_.contains(where)) {
+            if (target->next_share.owners > 0 && !probes_.contains(where)) {
                 due.push_back(where);
             }
         }
--- a/tests/support/coordinator_driver.cpp
+++ b/tests/support/coordinator_driver.cpp
@@ -57,7 +57,8 @@
     }
     for (auto index = std::size_t{0}; index < instances_.size(); ++index) {
         const auto view =
-            service_view{service, zones_out, instances_[index].name, ownership{names}};
+            service_view{service, zones_out, instances_[index].name,
+                         std::set<std::string>{names.begin(), names.end()}, ownership{names}};
         execute(index, instances_[index].coordinator->configure(view, now_));
     }
 }
@@ -82,7 +83,7 @@
     auto request =
         search_request{"q" + std::to_string(query), "s", "text", 10, worth, now_ + deadline};
     auto& asked = instances_[instance];
-    asked.open[query] = {query, now_, {}, request.deadline, worth, asked.policy, {}};
+    asked.open[query] = {query, instance, now_, {}, request.deadline, worth, asked.policy, {}};
     execute(instance, asked.coordinator->start(query, std::move(request), now_));
     return query;
 }
@@ -92,7 +93,7 @@
 {
     const auto query = next_query_++;
     auto& asked = instances_[instance];
-    asked.open[query] = {query, now_, {}, now_ + deadline, 1.0, asked.policy, {}};
+    asked.open[query] = {query, instance, now_, {}, now_ + deadline, 1.0, asked.policy, {}};
     execute(instance,
             asked.coordinator->start_run(query, {id, "s", "key", "{}", now_ + deadline}, now_));
     return query;
@@ -145,7 +146,11 @@
             return;
         }
         target.in_progress += 1;
+        instances_[instance].running[part.attempt] = &target;
         after(service_time(target), [this, instance, part, &target, delay] {
+            if (instances_[instance].running.erase(part.attempt) == 0) {
+                return;
+            }
             target.in_progress -= 1;
             target.served += 1;
             const auto& held = target.report.serving;
@@ -201,7 +206,7 @@
         auto request =
             forwarded_request{parts.service, parts.version, parts.snapshot, parts.total_shards,
                               parts.shards,  parts.text,    parts.top,      parts.deadline};
-        instances_[peer].open[query] = {query, now_, {}, parts.deadline, -1.0, {}, {}};
+        instances_[peer].open[query] = {query, peer, now_, {}, parts.deadline, -1.0, {}, {}};
         const auto relay = [this, instance, attempt = parts.attempt](const auto& result) {
             after(far_way, [this, instance, attempt, result] {
                 auto& asker = *instances_[instance].coordinator;
@@ -215,10 +220,22 @@
     });
 }
 
-auto coordinator_driver::carry(std::size_t /*instance*/, const cancel_attempt& /*cancelled*/)
-    -> void
+auto coordinator_driver::carry(std::size_t instance, const cancel_attempt& cancelled) -> void
 {
-    // The worst case: a fake target finishes what was cancelled, and its answer arrives late.
+    if (!targets_cancel) {
+        return;
+    }
+    auto& running = instances_[instance].running;
+    const auto found = running.find(cancelled.attempt);
+    if (found == running.end()) {
+        return;
+    }
+    const auto delay = way(instances_[instance], *found->second);
+    after(delay, [this, instance, attempt = cancelled.attempt, target = found->second] {
+        if (instances_[instance].running.erase(attempt) > 0) {
+            target->in_progress -= 1;
+        }
+    });
 }
 
 auto coordinator_driver::carry(std::size_t instance, const answer_query& answer) -> void
--- a/tests/support/coordinator_driver.hpp
+++ b/tests/support/coordinator_driver.hpp
@@ -39,6 +39,7 @@
 struct driven_result
 {
     query_key query = 0;
+    std::size_t instance = 0;
     time_point started;
     time_point ended;
     time_point deadline;
@@ -88,6 +89,9 @@
         return *instances_[index].coordinator;
     }
 
+    /// \brief Whether targets stop work that is cancelled; else its answer arrives late.
+    bool targets_cancel = false;
+
     /// \brief Changes answers on their way, for tests of late, crossed or false answers.
     std::function<void(part_answer&)> distort;
 
@@ -100,6 +104,7 @@
         std::unique_ptr<replica_chooser> chooser;
         std::unique_ptr<query_coordinator> coordinator;
         std::map<query_key, driven_result> open;
+        std::map<attempt_key, fake_target*> running;
         time_point next_tick;
     };
 
--- a/tests/unit/query_coordinator_test.cpp
+++ b/tests/unit/query_coordinator_test.cpp
@@ -26,6 +26,7 @@
         driver.add_instance("a", "a", {}, false);
         driver.configure(service, {});
         driver.report_all();
+        driver.advance(request_policy{}.share_hold);
     }
 
     auto target(std::size_t index) -> fake_target& { return driver.targets().at(where[index]); }
@@ -166,6 +167,7 @@
     }
     service.connections_per_replica = 1;
     driver.configure(service, {});
+    driver.advance(request_policy{}.share_hold);
     for (auto sent = 0; sent < 20; ++sent) {
         driver.search(0, deadline, 1.0);
     }
@@ -201,6 +203,7 @@
     }
     service.connections_per_replica = 1;
     driver.configure(service, {});
+    driver.advance(request_policy{}.share_hold);
     for (auto sent = 0; sent < 20; ++sent) {
         driver.search(0, deadline, 1.0);
     }
