--- a/bench/bench_requests.cpp
+++ b/bench/bench_requests.cpp
@@ -4,8 +4,7 @@
 
 #include <functional>
 
-namespace
-{
+namespace {
 
 using namespace knapweedchute;
 using namespace knapweedchute::bench;
@@ -20,8 +19,7 @@
 auto per_seed(const std::function<double(std::uint64_t)>& measure) -> std::vector<double>
 {
     auto values = std::vector<double>{};
-    for (auto seed = std::uint64_t{1}; seed <= seeds; ++seed)
-    {
+    for (auto seed = std::uint64_t{1}; seed <= seeds; ++seed) {
         values.push_back(measure(seed));
     }
     return values;
@@ -52,8 +50,7 @@
     const auto ratio = per_seed([&](std::uint64_t seed) {
         auto plain = request_load{straggler_options(seed, true)};
         auto ours = request_load{straggler_options(seed, false)};
-        for (auto* load : {&plain, &ours})
-        {
+        for (auto* load : {&plain, &ours}) {
             load->run(warm_up);
             load->clear();
             load->run(measured_time);
@@ -105,8 +102,7 @@
         options.seed = seed;
         auto load = request_load{options};
         load.run(warm_up);
-        for (auto& [where, target] : load.driver().targets())
-        {
+        for (auto& [where, target] : load.driver().targets()) {
             target.down = target.spec.availability_zone == "b";
         }
         load.run(seconds{5});
@@ -211,8 +207,7 @@
         auto load = request_load{options};
         load.run(warm_up);
         load.clear();
-        for (auto& [where, target] : load.driver().targets())
-        {
+        for (auto& [where, target] : load.driver().targets()) {
             target.latency = milliseconds{20};
         }
         load.run(measured_time);
--- a/bench/case_report.cpp
+++ b/bench/case_report.cpp
@@ -3,10 +3,8 @@
 #include <algorithm>
 #include <cstdio>
 
-namespace knapweedchute::bench
-{
-namespace
-{
+namespace knapweedchute::bench {
+namespace {
 
 auto print_figures(const std::string& name, const std::vector<double>& measured) -> void
 {
@@ -17,8 +15,8 @@
 
 } // namespace
 
-auto case_report::add(const std::string& name, const std::vector<double>& measured,
-                      bound_kind kind, double bound) -> void
+auto case_report::add(const std::string& name, const std::vector<double>& measured, bound_kind kind,
+                      double bound) -> void
 {
     const auto holds = std::all_of(measured.begin(), measured.end(), [&](double value) {
         return kind == bound_kind::at_most ? value <= bound : value >= bound;
@@ -39,8 +37,7 @@
 
 auto quantile(std::vector<double> values, double part) -> double
 {
-    if (values.empty())
-    {
+    if (values.empty()) {
         return 0.0;
     }
     std::sort(values.begin(), values.end());
--- a/bench/case_report.hpp
+++ b/bench/case_report.hpp
@@ -3,8 +3,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedchute::bench
-{
+namespace knapweedchute::bench {
 
 /// \brief Which side of the bound holds.
 enum class bound_kind
@@ -16,7 +15,7 @@
 /// \brief Collects measurements and prints one line per case.
 class case_report
 {
-  public:
+public:
     /// \brief Prints name, median over the seeds, spread, bound, and `holds` or `short`.
     /// \detail The case holds only if every seed does.
     auto add(const std::string& name, const std::vector<double>& measured, bound_kind kind,
@@ -28,7 +27,7 @@
     /// \brief Cases whose bound does not hold.
     [[nodiscard]] auto short_cases() const noexcept -> int { return short_cases_; }
 
-  private:
+private:
     int short_cases_ = 0;
 };
 
--- a/bench/request_load.cpp
+++ b/bench/request_load.cpp
@@ -4,10 +4,8 @@
 
 #include <algorithm>
 
-namespace knapweedchute::bench
-{
-namespace
-{
+namespace knapweedchute::bench {
+namespace {
 
 constexpr auto report_interval = milliseconds{500};
 constexpr auto most_queries = std::size_t{100'000};
@@ -33,8 +31,7 @@
     const auto policy = options.baseline ? baseline_policy() : request_policy{};
     service_ = add_service(driver_, options.shards, options.replicas, options.model);
     const auto zones = std::vector<std::string>{"a", "b", "c"};
-    for (auto index = std::size_t{0}; index < options.instances; ++index)
-    {
+    for (auto index = std::size_t{0}; index < options.instances; ++index) {
         driver_.add_instance("entry-" + std::to_string(index), zones[index % zones.size()], policy,
                              options.baseline);
         admissions_.push_back(
@@ -51,12 +48,10 @@
     const auto end = driver_.now() + time;
     auto next_report = driver_.now();
     auto gap = std::exponential_distribution<double>{options_.rate};
-    while (driver_.now() < end)
-    {
+    while (driver_.now() < end) {
         const auto wait = std::chrono::duration<double>(gap(random_));
         driver_.advance(std::chrono::duration_cast<duration>(wait));
-        if (driver_.now() >= next_report)
-        {
+        if (driver_.now() >= next_report) {
             driver_.report_all();
             next_report = driver_.now() + report_interval;
         }
@@ -72,8 +67,7 @@
     const auto& counters = driver_.counters();
     parts_before_ = counters.value(counter::parts_sent);
     extra_before_ = counters.value(counter::parts_hedged) + counters.value(counter::parts_retried);
-    for (auto& [where, target] : driver_.targets())
-    {
+    for (auto& [where, target] : driver_.targets()) {
         target.over_bearing = 0;
     }
 }
@@ -86,9 +80,9 @@
 auto request_load::latency_ms(double part) -> double
 {
     auto values = std::vector<double>{};
-    for (const auto& ended : driver_.results())
-    {
-        values.push_back(std::chrono::duration<double, std::milli>(ended.ended - ended.started).count());
+    for (const auto& ended : driver_.results()) {
+        values.push_back(
+            std::chrono::duration<double, std::milli>(ended.ended - ended.started).count());
     }
     return quantile(std::move(values), part);
 }
@@ -97,8 +91,7 @@
 {
     auto answered_shards = 0.0;
     auto shards = 0.0;
-    for (const auto& ended : driver_.results())
-    {
+    for (const auto& ended : driver_.results()) {
         const auto* answer = std::get_if<query_answer>(&ended.result);
         answered_shards += answer == nullptr ? 0.0 : answer->answered;
         shards += options_.shards;
@@ -109,8 +102,7 @@
 auto request_load::answered_worth() -> double
 {
     auto worth = 0.0;
-    for (const auto& ended : driver_.results())
-    {
+    for (const auto& ended : driver_.results()) {
         const auto* answer = std::get_if<query_answer>(&ended.result);
         const auto whole = answer != nullptr && answer->missing.empty();
         worth += whole && ended.ended <= ended.deadline ? ended.worth : 0.0;
@@ -121,8 +113,7 @@
 auto request_load::accepted_in_time_share() -> double
 {
     auto in_time = 0.0;
-    for (const auto& ended : driver_.results())
-    {
+    for (const auto& ended : driver_.results()) {
         const auto* answer = std::get_if<query_answer>(&ended.result);
         const auto whole = answer != nullptr && answer->missing.empty();
         in_time += whole && ended.ended <= ended.deadline ? 1.0 : 0.0;
@@ -137,14 +128,14 @@
     const auto extra = counters.value(counter::parts_hedged) +
                        counters.value(counter::parts_retried) - extra_before_;
     const auto sent = counters.value(counter::parts_sent) - parts_before_;
-    return static_cast<double>(extra) / static_cast<double>(std::max<std::uint64_t>(sent - extra, 1));
+    return static_cast<double>(extra) /
+           static_cast<double>(std::max<std::uint64_t>(sent - extra, 1));
 }
 
 auto request_load::over_bearing() -> double
 {
     auto count = 0.0;
-    for (const auto& [where, target] : driver_.targets())
-    {
+    for (const auto& [where, target] : driver_.targets()) {
         count += static_cast<double>(target.over_bearing);
     }
     return count;
@@ -164,13 +155,11 @@
     auto draw = std::uniform_int_distribution<int>{1, most_worth};
     const auto worth = static_cast<double>(draw(random_));
     offered_worth_ += worth;
-    if (options_.admission)
-    {
+    if (options_.admission) {
         feed_admission();
         auto& admission = *admissions_[instance];
         const auto running = driver_.coordinator(instance).queries_in_progress();
-        if (!admission.admit(worth, running, driver_.now()))
-        {
+        if (!admission.admit(worth, running, driver_.now())) {
             return;
         }
     }
--- a/bench/request_load.hpp
+++ b/bench/request_load.hpp
@@ -8,8 +8,7 @@
 #include <random>
 #include <vector>
 
-namespace knapweedchute::bench
-{
+namespace knapweedchute::bench {
 
 /// \brief How a load in virtual time is set up.
 struct request_load_options
@@ -17,18 +16,18 @@
     std::uint32_t shards = 20;
     std::uint32_t replicas = 2;
     std::size_t instances = 9;
-    test::fake_target model;             ///< Every target starts like this one.
-    double rate = 500.0;                 ///< Searches per second over all instances.
-    milliseconds deadline{200};          ///< Deadline of each search.
-    bool baseline = false;               ///< Random replica, no hedge, no ejection, no limits.
-    bool admission = false;              ///< Whether admission control is in front.
+    test::fake_target model;    ///< Every target starts like this one.
+    double rate = 500.0;        ///< Searches per second over all instances.
+    milliseconds deadline{200}; ///< Deadline of each search.
+    bool baseline = false;      ///< Random replica, no hedge, no ejection, no limits.
+    bool admission = false;     ///< Whether admission control is in front.
     std::uint64_t seed = 1;
 };
 
 /// \brief Searches at a steady mean rate against fake targets, in virtual time.
 class request_load
 {
-  public:
+public:
     explicit request_load(const request_load_options& options);
 
     /// \brief Offers load for a time.
@@ -57,7 +56,7 @@
 
     [[nodiscard]] auto driver() -> test::coordinator_driver& { return driver_; }
 
-  private:
+private:
     auto offer() -> void;
     auto feed_admission() -> void;
 
--- a/include/knapweedchute/membership/peer_message.hpp
+++ b/include/knapweedchute/membership/peer_message.hpp
@@ -31,7 +31,7 @@
 };
 
 /// \brief Most changes carried by one datagram.
-inline constexpr auto most_news = std::size_t{8};
+inline constexpr auto most_news = std::size_t{6};
 
 /// \brief Proof age of an instance that has no proof.
 inline constexpr auto no_proof_ms = ~std::uint64_t{0};
