--- a/tests/support/memory_store.hpp
+++ b/tests/support/memory_store.hpp
@@ -6,13 +6,12 @@
 #include <map>
 #include <string>
 
-namespace knapweedchute::test
-{
+namespace knapweedchute::test {
 
 /// \brief Key-value service in memory with faults at chosen calls.
 class memory_store final : public key_value_store
 {
-  public:
+public:
     /// \brief What happens to a write.
     enum class fault
     {
@@ -68,7 +67,7 @@
 
     std::map<std::string, stored_value> values;
 
-  private:
+private:
     std::uint64_t revision_ = 0;
 };
 
--- a/tests/unit/configuration_holder_test.cpp
+++ b/tests/unit/configuration_holder_test.cpp
@@ -4,8 +4,7 @@
 
 using namespace knapweedchute;
 
-namespace
-{
+namespace {
 
 constexpr auto limit = seconds{5};
 
--- a/tests/unit/configuration_store_test.cpp
+++ b/tests/unit/configuration_store_test.cpp
@@ -3,6 +3,7 @@
 #include <knapweedchute/config/configuration_store.hpp>
 
 #include <boost/test/unit_test.hpp>
+
 #include <functional>
 #include <random>
 #include <set>
@@ -10,8 +11,7 @@
 using namespace knapweedchute;
 using namespace knapweedchute::test;
 
-namespace
-{
+namespace {
 
 constexpr auto head_key = std::string_view{"configuration"};
 
--- a/tests/unit/decoder_test.cpp
+++ b/tests/unit/decoder_test.cpp
@@ -13,8 +13,7 @@
 
 using namespace knapweedchute;
 
-namespace
-{
+namespace {
 
 const auto valid_settings = std::string{
     R"({"instance":"a","availability_zone":"z","deployment":"d","key":"0123456789abcdef",)"
@@ -47,8 +46,7 @@
         static_cast<void>(decode_run_call(bytes, reason));
         static_cast<void>(operators_file_reader{}.read(bytes));
         static_cast<void>(settings_reader{}.read(bytes));
-        static_cast<void>(
-            parse_request_id(bytes, message_key{"0123456789abcdef"}, reason));
+        static_cast<void>(parse_request_id(bytes, message_key{"0123456789abcdef"}, reason));
     }
 
     /// Seals a body that was not made by the encoder, as a peer with a fault would.
@@ -157,10 +155,8 @@
         paths.push_back(fault.where);
     }
     const auto expected = std::vector<std::string>{
-        "/services/0/connections_per_replica",
-        "/services/0/versions/0/targets/0/address",
-        "/availability_zones/1/name",
-        "/services/0/version",
+        "/services/0/connections_per_replica", "/services/0/versions/0/targets/0/address",
+        "/availability_zones/1/name", "/services/0/version",
         "/services/0/versions/0/targets/0/availability_zone"};
     BOOST_TEST(paths == expected, boost::test_tools::per_element());
 }
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -4,13 +4,13 @@
 #include <knapweedchute/membership/store_readers.hpp>
 
 #include <boost/test/unit_test.hpp>
+
 #include <memory>
 #include <set>
 
 using namespace knapweedchute;
 
-namespace
-{
+namespace {
 
 constexpr auto step = milliseconds{50};
 
@@ -30,8 +30,8 @@
         for (auto index = std::size_t{0}; index < count; ++index) {
             const auto number = static_cast<std::uint16_t>(nodes.size() + 1);
             const auto self = member{"n" + std::to_string(number), "z", {1, number}, {}, {}, 1, {}};
-            nodes.push_back(std::make_unique<membership>(
-                self, std::vector<address>{{1, 1}}, membership_options{}, number));
+            nodes.push_back(std::make_unique<membership>(self, std::vector<address>{{1, 1}},
+                                                         membership_options{}, number));
         }
     }
 
@@ -242,7 +242,12 @@
 {
     auto members = std::vector<member>{};
     for (auto index = 0; index < 30; ++index) {
-        members.push_back({"n" + std::to_string(index), index % 3 == 0 ? "z1" : "z2", {}, {}, {}, 1,
+        members.push_back({"n" + std::to_string(index),
+                           index % 3 == 0 ? "z1" : "z2",
+                           {},
+                           {},
+                           {},
+                           1,
                            member_state::alive});
     }
     auto readers = 0;
