A silent connection is answered with another replica first

After a time-out on a reused connection the part was tried on the same target again, and the time-out did not count in the target's latency. Ruled out: hedging (no latencies known yet at so few searches). Change: another replica is preferred; the same target only if it is the only one; an unanswered attempt's age counts as a lower bound of the latency.

--- a/include/knapweedchute/query/query_coordinator.hpp
+++ b/include/knapweedchute/query/query_coordinator.hpp
@@ -134,6 +134,9 @@
     auto accept_part(query_key key, std::uint32_t shard, std::vector<hit> hits) -> void;
     auto retry(query_key key, std::uint32_t shard, attempt_failure failure, time_point now,
                action_list& actions) -> void;
+    auto avoid(impl::part_progress& part,
+               const std::vector<std::shared_ptr<target_state>>& replicas, target_state& target,
+               attempt_failure failure, time_point now) const -> void;
     auto give_up(query_key key, std::uint32_t shard, time_point now, action_list& actions) -> void;
     [[nodiscard]] auto restart(query_key key, time_point now, action_list& actions) -> bool;
     auto cancel_live(impl::part_progress& part, time_point now, action_list& actions) -> void;
--- a/include/knapweedchute/query/target_table.hpp
+++ b/include/knapweedchute/query/target_table.hpp
@@ -38,7 +38,8 @@
     auto on_sent(target_state& target) -> void;
     auto on_answer(target_state& target, const part_answer& answer, duration latency,
                    time_point now) -> void;
-    auto on_failure(target_state& target, attempt_failure failure, time_point now) -> void;
+    auto on_failure(target_state& target, attempt_failure failure, duration age, time_point now)
+        -> void;
     /// \brief An attempt was given up after `age`; a long age makes the target suspicious.
     auto on_cancelled(target_state& target, duration age, time_point now) -> void;
     /// @}
@@ -88,6 +89,7 @@
     [[nodiscard]] auto build_snapshots(const std::string& version) const -> snapshot_list;
     auto change_share(target_state& target, const target_share& share, time_point now) const
         -> void;
+    static auto note_unanswered(target_state& target, duration age) -> void;
     auto mark_leaving(target_state& target, time_point now) -> void;
     auto blame(target_state& target, time_point now) -> void;
     auto eject(target_state& target, time_point now) -> void;
--- a/src/query/query_coordinator.cpp
+++ b/src/query/query_coordinator.cpp
@@ -205,7 +205,7 @@
     }
     counters_->add(counter::parts_failed);
     if (done->target) {
-        table_.on_failure(*done->target, failure, now);
+        table_.on_failure(*done->target, failure, now - done->started, now);
     }
     const auto map = queries_.at(done->query).map;
     for (const auto shard : done->shards) {
@@ -213,9 +213,8 @@
             break; // Restarted on another snapshot.
         }
         auto& part = queries_.at(done->query).parts[shard];
-        const auto same_again = failure == attempt_failure::silent;
-        if (done->target && !same_again) {
-            part.tried.push_back(done->target.get());
+        if (done->target) {
+            avoid(part, queries_.at(done->query).map->replicas[shard], *done->target, failure, now);
         }
         retry(done->query, shard, failure, now, actions);
     }
--- a/src/query/query_dispatch.cpp
+++ b/src/query/query_dispatch.cpp
@@ -239,6 +239,19 @@
     dispatch_all(key, {shard}, now, actions);
 }
 
+auto query_coordinator::avoid(impl::part_progress& part,
+                              const std::vector<std::shared_ptr<target_state>>& replicas,
+                              target_state& target, attempt_failure failure, time_point now) const
+    -> void
+{
+    part.tried.push_back(&target);
+    // A silent connection says nothing of the target: it may be tried again if it is the only one.
+    const auto only_one = !table_.usable_here(replicas, part.tried, now);
+    if (failure == attempt_failure::silent && only_one) {
+        part.tried.pop_back();
+    }
+}
+
 auto query_coordinator::give_up(query_key key, std::uint32_t shard, time_point now,
                                 action_list& actions) -> void
 {
--- a/src/query/run_coordinator.cpp
+++ b/src/query/run_coordinator.cpp
@@ -50,7 +50,7 @@
     }
     auto progress = std::move(found->second);
     runs_.erase(found);
-    table_->on_failure(*progress.target, failure, now);
+    table_->on_failure(*progress.target, failure, now - progress.sent, now);
     progress.tried.push_back(progress.target.get());
     const auto again = outcome_of(failure) == outcome::not_run &&
                        progress.tried.size() < policy_.most_attempts &&
--- a/src/query/target_table.cpp
+++ b/src/query/target_table.cpp
@@ -104,9 +104,15 @@
     }
 }
 
-auto target_table::on_failure(target_state& target, attempt_failure failure, time_point now) -> void
+auto target_table::on_failure(target_state& target, attempt_failure failure, duration age,
+                              time_point now) -> void
 {
     target.in_flight -= 1;
+    const auto unanswered =
+        failure == attempt_failure::silent || failure == attempt_failure::timed_out;
+    if (unanswered) {
+        note_unanswered(target, age);
+    }
     if (failure == attempt_failure::shed) {
         target.warmup.on_shed(now);
     }
@@ -125,9 +131,7 @@
 {
     target.in_flight -= 1;
     const auto usual = target.latency;
-    if (age > usual) {
-        target.latency += (age - usual) / latency_weight;
-    }
+    note_unanswered(target, age);
     if (age < std::max<duration>(suspicious_age, usual * suspicious_latencies)) {
         return;
     }
@@ -282,6 +286,11 @@
     target.next_share_from = now + policy_.share_hold;
 }
 
+auto target_table::note_unanswered(target_state& target, duration age) -> void
+{
+    target.latency += std::max(age - target.latency, duration::zero()) / latency_weight;
+}
+
 auto target_table::mark_leaving(target_state& target, time_point now) -> void
 {
     target.leaving = true;
