--- a/include/knapweedchute/membership/membership.hpp
+++ b/include/knapweedchute/membership/membership.hpp
@@ -55,6 +55,12 @@
     /// \brief Every known member including this one, ordered by name.
     [[nodiscard]] auto members() const -> std::vector<member>;
 
+    /// \brief A random serving member other than this one.
+    [[nodiscard]] auto random_peer() -> std::optional<member>;
+
+    /// \brief Changes whenever a member or its state does.
+    [[nodiscard]] auto generation() const noexcept -> std::uint64_t { return generation_; }
+
     /// \brief Members that serve, including this one.
     [[nodiscard]] auto serving_count() const -> std::size_t;
 
@@ -99,6 +105,7 @@
     std::mt19937_64 random_;
     std::map<std::string, entry> entries_;
     std::vector<std::string> probe_order_;
+    std::string last_news_;
     std::optional<probe> probe_;
     std::map<std::uint64_t, std::pair<address, std::uint64_t>> relayed_;
     std::optional<time_point> last_probe_;
@@ -108,6 +115,7 @@
     std::size_t rumour_rounds_ = 0;
     std::size_t self_sends_left_ = 0;
     std::size_t local_health_ = 0;
+    std::uint64_t generation_ = 1;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/runtime/peer_agent.hpp
+++ b/include/knapweedchute/runtime/peer_agent.hpp
@@ -75,6 +75,7 @@
     auto want_fetch(const address& peer, std::uint64_t version) -> void;
     auto fetch_configuration(const address& peer) -> void;
     auto fetch_members(const address& peer) -> void;
+    auto synchronize_members() -> void;
 
     settings settings_;
     envelope codec_;
@@ -87,10 +88,13 @@
     mutable std::mutex mutex_;
     membership membership_;
     std::vector<std::string> known_;
+    std::uint64_t generation_ = 0;
     std::mutex fetch_mutex_;
     std::condition_variable fetch_wanted_;
     std::optional<address> fetch_from_;
     bool joined_ = false;
+    time_point next_synchronization_;
+    duration synchronization_interval_{0};
     std::atomic<bool> stopping_{false};
     std::thread datagram_thread_;
     std::thread fetch_thread_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -22,7 +22,6 @@
 
 auto membership::tick(time_point now) -> std::vector<outgoing>
 {
-    expire_suspects(now);
     auto messages = rumours();
     const auto due = !last_probe_ || now - *last_probe_ >= options_.probe_period;
     auto probes = due ? next_probe(now) : indirect_probes(now);
@@ -74,6 +73,7 @@
 {
     self_.state = state;
     self_.incarnation += 1;
+    generation_ += 1;
     self_sends_left_ = retransmissions();
     rumour_rounds_ = retransmissions();
 }
@@ -87,6 +87,12 @@
     proof_age_ms_ = proof_age_ms;
 }
 
+auto membership::random_peer() -> std::optional<member>
+{
+    const auto chosen = random_members(1, false);
+    return chosen.empty() ? std::nullopt : std::optional{chosen.front()};
+}
+
 auto membership::members() const -> std::vector<member>
 {
     auto list = std::vector<member>{self_};
@@ -116,14 +122,19 @@
 auto membership::make(peer_message_kind kind, std::uint64_t sequence) -> peer_message
 {
     auto message = peer_message{kind, self_, sequence, {}, config_version_, proof_age_ms_, {}};
-    for (auto& [name, known] : entries_) {
+    // Goes on after the member that was told last, so that no news waits behind others for ever.
+    auto next = entries_.upper_bound(last_news_);
+    for (auto seen = std::size_t{0}; seen < entries_.size(); ++seen) {
+        next = next == entries_.end() ? entries_.begin() : next;
+        if (next->second.sends_left > 0) {
+            next->second.sends_left -= 1;
+            message.news.push_back(next->second.value);
+            last_news_ = next->first;
+        }
         if (message.news.size() == most_news) {
             break;
         }
-        if (known.sends_left > 0) {
-            known.sends_left -= 1;
-            message.news.push_back(known.value);
-        }
+        ++next;
     }
     return message;
 }
@@ -131,6 +142,7 @@
 auto membership::next_probe(time_point now) -> std::vector<outgoing>
 {
     finish_probe(now);
+    expire_suspects(now);
     last_probe_ = now;
     if (probe_order_.empty()) {
         for (const auto& [name, known] : entries_) {
@@ -244,6 +256,7 @@
         }
         const auto gone = state == member_state::dead || state == member_state::left;
         const auto forget = gone && age >= options_.forget_dead_after;
+        generation_ += forget ? 1 : 0;
         known = forget ? entries_.erase(known) : std::next(known);
     }
     for (auto& gone : expired) {
@@ -261,10 +274,12 @@
     const auto known = entries_.find(news.instance);
     if (known == entries_.end()) {
         entries_[news.instance] = {news, now, retransmissions()};
+        generation_ += 1;
         return;
     }
     if (supersedes(news, known->second.value)) {
         known->second = {news, now, retransmissions()};
+        generation_ += 1;
     }
 }
 
--- a/src/runtime/peer_agent.cpp
+++ b/src/runtime/peer_agent.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr auto advance_interval = milliseconds{50};
+constexpr auto shortest_synchronization = milliseconds{500};
+constexpr auto longest_synchronization = seconds{60};
 constexpr auto fetch_timeout = milliseconds{2'000};
 const auto log_line = logger{"peer"};
 
@@ -179,7 +181,7 @@
 auto peer_agent::send(const std::vector<outgoing>& messages) -> void
 {
     for (const auto& message : messages) {
-        if (!gate_->passes(message.to)) {
+        if (!gate_->passes_datagram(message.to)) {
             continue;
         }
         const auto content = codec_.seal(message.message);
@@ -191,6 +193,13 @@
 
 auto peer_agent::note_members() -> void
 {
+    {
+        const auto lock = std::lock_guard{mutex_};
+        if (membership_.generation() == generation_) {
+            return;
+        }
+        generation_ = membership_.generation();
+    }
     auto known_now = std::vector<std::string>{};
     for (const auto& known : members()) {
         if (known.state != member_state::left) {
@@ -227,6 +236,9 @@
             fetch_configuration(*peer);
             fetch_members(*peer);
         }
+        if (steady_clock::now() >= next_synchronization_ && !stopping_) {
+            synchronize_members();
+        }
     }
 }
 
@@ -263,4 +275,26 @@
     membership_.merge(reply->members, steady_clock::now());
 }
 
+auto peer_agent::synchronize_members() -> void
+{
+    auto peer = std::optional<member>{};
+    auto before = std::uint64_t{0};
+    {
+        const auto lock = std::lock_guard{mutex_};
+        peer = membership_.random_peer();
+        before = membership_.generation();
+    }
+    if (peer) {
+        fetch_members(peer->peer_address);
+    }
+    const auto lock = std::lock_guard{mutex_};
+    const auto changed = membership_.generation() != before;
+    // Lists that agree are compared ever more rarely: whole lists are the dearest messages.
+    synchronization_interval_ =
+        changed ? shortest_synchronization
+                : std::clamp<duration>(synchronization_interval_ * 2, shortest_synchronization,
+                                       longest_synchronization);
+    next_synchronization_ = steady_clock::now() + synchronization_interval_;
+}
+
 } // namespace knapweedchute
--- a/tests/support/scenario_runner.cpp
+++ b/tests/support/scenario_runner.cpp
@@ -3,13 +3,13 @@
 
 #include <knapweedchute/core/log.hpp>
 
+#include <lua.hpp>
+
 #include <chrono>
 #include <iostream>
-#include <lua.hpp>
 #include <thread>
 
-namespace
-{
+namespace {
 
 using namespace knapweedchute;
 using namespace knapweedchute::test;
@@ -67,22 +67,17 @@
             push_json(lua, value);
             if (json.is_object()) {
                 lua_setfield(lua, -2, key.c_str());
-            }
-            else {
+            } else {
                 lua_seti(lua, -2, index++);
             }
         }
-    }
-    else if (json.is_string()) {
+    } else if (json.is_string()) {
         lua_pushstring(lua, json.get<std::string>().c_str());
-    }
-    else if (json.is_number_integer()) {
+    } else if (json.is_number_integer()) {
         lua_pushinteger(lua, json.get<lua_Integer>());
-    }
-    else if (json.is_number()) {
+    } else if (json.is_number()) {
         lua_pushnumber(lua, json.get<double>());
-    }
-    else {
+    } else {
         lua_pushboolean(lua, json.is_boolean() && json.get<bool>() ? 1 : 0);
     }
 }
@@ -116,23 +111,17 @@
     const auto on = lua_toboolean(lua, 3) != 0;
     if (behaviour == "leaving") {
         target.set_leaving(on);
-    }
-    else if (behaviour == "failing") {
+    } else if (behaviour == "failing") {
         target.set_failing(on);
-    }
-    else if (behaviour == "truncating") {
+    } else if (behaviour == "truncating") {
         target.set_truncating(on);
-    }
-    else if (behaviour == "crossing") {
+    } else if (behaviour == "crossing") {
         target.set_crossing(on);
-    }
-    else if (behaviour == "losing_run_answers") {
+    } else if (behaviour == "losing_run_answers") {
         target.set_losing_run_answers(on);
-    }
-    else if (behaviour == "latency_ms") {
+    } else if (behaviour == "latency_ms") {
         target.set_latency(std::chrono::milliseconds{luaL_checkinteger(lua, 3)});
-    }
-    else {
+    } else {
         return luaL_error(lua, "no behaviour %s", behaviour.c_str());
     }
     return 0;
@@ -295,14 +284,11 @@
     const auto fault = text_at(lua, 1);
     if (fault == "outage") {
         platform.set_outage(lua_toboolean(lua, 2) != 0);
-    }
-    else if (fault == "lose_answers") {
+    } else if (fault == "lose_answers") {
         platform.lose_answers(static_cast<int>(luaL_checkinteger(lua, 2)));
-    }
-    else if (fault == "answer_old") {
+    } else if (fault == "answer_old") {
         platform.answer_old(static_cast<int>(luaL_checkinteger(lua, 2)));
-    }
-    else {
+    } else {
         return luaL_error(lua, "no fault %s", fault.c_str());
     }
     return 0;
--- a/tests/support/scenario_world.cpp
+++ b/tests/support/scenario_world.cpp
@@ -5,10 +5,8 @@
 #include <stdexcept>
 #include <utility>
 
-namespace knapweedchute::test
-{
-namespace
-{
+namespace knapweedchute::test {
+namespace {
 
 constexpr auto loopback = 0x7f000001U;
 constexpr auto platform_port = std::uint16_t{21'000};
@@ -117,8 +115,7 @@
 {
     if (out) {
         zones_out_.insert(zone);
-    }
-    else {
+    } else {
         zones_out_.erase(zone);
     }
 }
@@ -126,8 +123,7 @@
 auto scenario_world::apply(std::uint64_t base, std::string& failure) -> std::uint64_t
 {
     auto counters = counter_set{};
-    auto service =
-        http_key_value_store{{loopback, platform_port}, milliseconds{500}, counters};
+    auto service = http_key_value_store{{loopback, platform_port}, milliseconds{500}, counters};
     auto store = configuration_store{service, 3};
     auto reason = error{};
     const auto text = file_text();
@@ -224,19 +220,15 @@
     auto by_version = std::map<std::string, nlohmann::json>{};
     for (const auto& target : declared_) {
         auto& list = by_version.try_emplace(target.version, nlohmann::json::array()).first->second;
-        list.push_back(
-            {{"address", text_of(target.where)}, {"availability_zone", target.zone}});
+        list.push_back({{"address", text_of(target.where)}, {"availability_zone", target.zone}});
     }
     auto versions = nlohmann::json::array();
     for (const auto& [name, targets] : by_version) {
         versions.push_back({{"name", name}, {"targets", targets}});
     }
-    const auto service = nlohmann::json{{"name", "s"},
-                                        {"workspace", "kerkenna"},
-                                        {"version", version_},
-                                        {"connections_per_replica", 25},
-                                        {"warmup_ms", 1},
-                                        {"versions", versions}};
+    const auto service = nlohmann::json{{"name", "s"},         {"workspace", "kerkenna"},
+                                        {"version", version_}, {"connections_per_replica", 25},
+                                        {"warmup_ms", 1},      {"versions", versions}};
     return nlohmann::json{{"availability_zones", zones}, {"services", {service}}}.dump();
 }
 
@@ -252,11 +244,11 @@
     while (loading_) {
         ++serial;
         const auto& where = targets[(number + serial) % targets.size()];
-        const auto body = nlohmann::json{{"request_id", std::to_string(number) + "-" +
-                                                            std::to_string(serial)},
-                                         {"service", "s"},
-                                         {"text", "slope closed"},
-                                         {"deadline_ms", 1'000}};
+        const auto body =
+            nlohmann::json{{"request_id", std::to_string(number) + "-" + std::to_string(serial)},
+                           {"service", "s"},
+                           {"text", "slope closed"},
+                           {"deadline_ms", 1'000}};
         auto reason = error{};
         const auto response = client.perform(
             {"POST", "http://" + where + "/v1/query", body.dump(), {}, call_timeout}, reason);
--- a/tests/support/scenario_world.hpp
+++ b/tests/support/scenario_world.hpp
@@ -7,22 +7,22 @@
 #include <knapweedchute/runtime/http_client.hpp>
 #include <knapweedchute/runtime/query_instance.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <atomic>
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
-namespace knapweedchute::test
-{
+namespace knapweedchute::test {
 
 /// \brief What came back for one request, as a caller saw it.
 struct caller_view
 {
-    long status = 0;    ///< HTTP status; 0 if there was no response.
+    long status = 0;     ///< HTTP status; 0 if there was no response.
     nlohmann::json body; ///< Response body.
 };
 
@@ -39,7 +39,7 @@
 /// \brief Everything that a scenario acts on: stand-ins, instances, gates, a load.
 class scenario_world
 {
-  public:
+public:
     scenario_world();
     scenario_world(const scenario_world&) = delete;
     auto operator=(const scenario_world&) -> scenario_world& = delete;
@@ -84,7 +84,7 @@
     }
     [[nodiscard]] auto executions() const -> std::map<std::string, int>;
 
-  private:
+private:
     struct running_entry
     {
         settings values;
