--- a/bench/bench_capacity.cpp
+++ b/bench/bench_capacity.cpp
@@ -64,7 +64,11 @@
 auto print_fit(const char* name, const std::vector<point>& points, double aim) -> double
 {
     const auto line = fit(points);
-    const auto value = line.base + line.slope * aim;
+    // A line that falls or is flat within its noise is not extended below what was measured.
+    auto value = line.base + line.slope * aim;
+    for (const auto& item : points) {
+        value = item.x <= aim ? std::max(value, item.y) : value;
+    }
     std::printf("%-52s base %.4g  slope %.4g  residual %.2g  at %.0f: %.4g\n", name, line.base,
                 line.slope, line.residual, aim, value);
     std::fflush(stdout);
@@ -85,7 +89,7 @@
         std::printf("%zu instances did not join\n", count);
     }
     static_cast<void>(fleet.apply(20));
-    std::this_thread::sleep_for(seconds{5});
+    std::this_thread::sleep_for(seconds{15});
     const auto bytes = fleet.total(counter::datagram_bytes_sent);
     const auto datagrams = fleet.total(counter::datagrams_sent);
     const auto spent = process_cpu_seconds();
--- a/include/knapweedchute/membership/membership.hpp
+++ b/include/knapweedchute/membership/membership.hpp
@@ -95,7 +95,7 @@
     [[nodiscard]] auto retransmissions() const -> std::size_t;
     auto finish_probe(time_point now) -> void;
     auto expire_suspects(time_point now) -> void;
-    auto learn(const member& news, time_point now) -> void;
+    auto learn(const member& news, time_point now, std::size_t sends) -> void;
     auto refute(const member& news) -> void;
     auto confirm(const member& sender, time_point now) -> void;
 
--- a/include/knapweedchute/membership/ownership.hpp
+++ b/include/knapweedchute/membership/ownership.hpp
@@ -41,14 +41,15 @@
     [[nodiscard]] auto owners(const address& target, std::int64_t limit) const
         -> std::vector<std::string>;
 
-    /// \brief The place of one instance among the owners of a target.
-    /// \param limit Connections that the target accepts in all.
-    [[nodiscard]] auto share(const std::string& instance, const address& target,
-                             std::int64_t limit) const -> target_share;
-
 private:
     std::vector<std::string> instances_;
     std::vector<std::uint64_t> hashes_;
 };
 
+/// \brief The place of one instance among the owners of a target.
+/// \param owners Owners as `ownership::owners` gives them.
+/// \param limit  Connections that the target accepts in all.
+[[nodiscard]] auto share_among(const std::vector<std::string>& owners, const std::string& instance,
+                               std::int64_t limit) -> target_share;
+
 } // namespace knapweedchute
--- a/include/knapweedchute/query/part_answer_parser.hpp
+++ b/include/knapweedchute/query/part_answer_parser.hpp
@@ -3,10 +3,10 @@
 #include <knapweedchute/query/part_answer.hpp>
 
 #include <nlohmann/json.hpp>
+
 #include <string>
 
-namespace knapweedchute::impl
-{
+namespace knapweedchute::impl {
 
 /// \brief Reads a target's answer while it is parsed, without a tree in between.
 ///
@@ -14,7 +14,7 @@
 ///         every required key once, the right types, shard below shards, an end mark.
 class part_answer_parser final : public nlohmann::json_sax<nlohmann::json>
 {
-  public:
+public:
     /// \brief Whether everything required was read.
     [[nodiscard]] auto complete() const noexcept -> bool;
 
@@ -42,7 +42,7 @@
     }
     /// @}
 
-  private:
+private:
     enum class field : std::uint8_t
     {
         none,
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -36,7 +36,7 @@
     }
     confirm(message.from, now);
     for (const auto& news : message.news) {
-        learn(news, now);
+        learn(news, now, retransmissions());
     }
     auto messages = std::vector<outgoing>{};
     if (message.kind == peer_message_kind::ping) {
@@ -64,8 +64,9 @@
 
 auto membership::merge(const std::vector<member>& members, time_point now) -> void
 {
+    // Lists spread by being fetched; telling their content again would only repeat it.
     for (const auto& news : members) {
-        learn(news, now);
+        learn(news, now, 0);
     }
 }
 
@@ -236,7 +237,7 @@
     if (known != entries_.end() && known->second.value.state < member_state::suspect) {
         auto suspected = known->second.value;
         suspected.state = member_state::suspect;
-        learn(suspected, now);
+        learn(suspected, now, retransmissions());
     }
     probe_.reset();
     relayed_.clear();
@@ -261,11 +262,11 @@
     }
     for (auto& gone : expired) {
         gone.state = member_state::dead;
-        learn(gone, now);
+        learn(gone, now, retransmissions());
     }
 }
 
-auto membership::learn(const member& news, time_point now) -> void
+auto membership::learn(const member& news, time_point now, std::size_t sends) -> void
 {
     if (news.instance == self_.instance) {
         refute(news);
@@ -273,12 +274,12 @@
     }
     const auto known = entries_.find(news.instance);
     if (known == entries_.end()) {
-        entries_[news.instance] = {news, now, retransmissions()};
+        entries_[news.instance] = {news, now, sends};
         generation_ += 1;
         return;
     }
     if (supersedes(news, known->second.value)) {
-        known->second = {news, now, retransmissions()};
+        known->second = {news, now, sends};
         generation_ += 1;
     }
 }
@@ -302,7 +303,7 @@
         known->second.sends_left = std::max<std::size_t>(known->second.sends_left, 1);
         return;
     }
-    learn(sender, now);
+    learn(sender, now, retransmissions());
 }
 
 } // namespace knapweedchute
--- a/src/membership/ownership.cpp
+++ b/src/membership/ownership.cpp
@@ -35,34 +35,42 @@
 auto ownership::owners(const address& target, std::int64_t limit) const -> std::vector<std::string>
 {
     const auto target_hash = (std::uint64_t{target.ip} << 16U) | target.port;
-    auto ranks = std::vector<std::pair<std::uint64_t, std::size_t>>{};
-    ranks.reserve(hashes_.size());
+    const auto useful = std::max<std::int64_t>(limit / fewest_connections, 1);
+    const auto count = std::min(hashes_.size(), static_cast<std::size_t>(useful));
+    // A heap of the best ranks so far: almost every instance fails its first comparison.
+    auto best = std::vector<std::pair<std::uint64_t, std::size_t>>{};
+    best.reserve(count);
     for (auto index = std::size_t{0}; index < hashes_.size(); ++index) {
-        ranks.emplace_back(rank_of(hashes_[index], target_hash), index);
+        const auto ranked = std::pair{rank_of(hashes_[index], target_hash), index};
+        if (best.size() == count) {
+            if (best.front() < ranked) {
+                continue;
+            }
+            std::pop_heap(best.begin(), best.end());
+            best.pop_back();
+        }
+        best.push_back(ranked);
+        std::push_heap(best.begin(), best.end());
     }
-    const auto useful = std::max<std::int64_t>(limit / fewest_connections, 1);
-    const auto count = std::min(ranks.size(), static_cast<std::size_t>(useful));
-    const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(count);
-    std::partial_sort(ranks.begin(), end, ranks.end());
+    std::sort_heap(best.begin(), best.end());
     auto names = std::vector<std::string>{};
-    for (auto rank = ranks.begin(); rank != end; ++rank) {
-        names.push_back(instances_[rank->second]);
+    names.reserve(count);
+    for (const auto& [rank, index] : best) {
+        names.push_back(instances_[index]);
     }
     return names;
 }
 
-auto ownership::share(const std::string& instance, const address& target, std::int64_t limit) const
-    -> target_share
+auto share_among(const std::vector<std::string>& owners, const std::string& instance,
+                 std::int64_t limit) -> target_share
 {
-    const auto holders = owners(target, limit);
-    const auto found = std::find(holders.begin(), holders.end(), instance);
-    if (found == holders.end()) {
+    const auto found = std::find(owners.begin(), owners.end(), instance);
+    if (found == owners.end()) {
         return {};
     }
-    const auto count = static_cast<std::int64_t>(holders.size());
-    const auto position = found - holders.begin();
-    const auto connections = limit / count + (position < limit % count ? 1 : 0);
-    return {position, count, connections};
+    const auto count = static_cast<std::int64_t>(owners.size());
+    const auto position = found - owners.begin();
+    return {position, count, limit / count + (position < limit % count ? 1 : 0)};
 }
 
 } // namespace knapweedchute
--- a/src/query/part_answer_parser.cpp
+++ b/src/query/part_answer_parser.cpp
@@ -1,5 +1,4 @@
 #include <knapweedchute/query/part_answer_parser.hpp>
-
 #include <knapweedchute/query/target_codec.hpp>
 
 #include <array>
@@ -7,8 +6,7 @@
 #include <string_view>
 #include <utility>
 
-namespace knapweedchute::impl
-{
+namespace knapweedchute::impl {
 
 auto part_answer_parser::complete() const noexcept -> bool
 {
@@ -46,17 +44,25 @@
 {
     mark();
     switch (field_) {
-    case field::snapshot: answer_.source.snapshot = value; return true;
-    case field::attempt: answer_.attempt = value; return true;
-    case field::incarnation: answer_.incarnation = value; return true;
+    case field::snapshot:
+        answer_.source.snapshot = value;
+        return true;
+    case field::attempt:
+        answer_.attempt = value;
+        return true;
+    case field::incarnation:
+        answer_.incarnation = value;
+        return true;
     case field::shards:
         answer_.source.shards = static_cast<std::uint32_t>(value);
         return value > 0 && value <= most_shards;
     case field::shard:
         answer_.source.shard = static_cast<std::uint32_t>(value);
         return value < most_shards;
-    case field::score: return number_float(static_cast<double>(value), {});
-    default: return ignored();
+    case field::score:
+        return number_float(static_cast<double>(value), {});
+    default:
+        return ignored();
     }
 }
 
@@ -104,14 +110,15 @@
 auto part_answer_parser::key(string_t& value) -> bool
 {
     using named_field = std::pair<std::string_view, field>;
-    static constexpr auto answer_fields = std::array<named_field, 8>{{{"snapshot", field::snapshot},
-                                                                      {"shards", field::shards},
-                                                                      {"shard", field::shard},
-                                                                      {"attempt", field::attempt},
-                                                                      {"incarnation", field::incarnation},
-                                                                      {"leaving", field::leaving},
-                                                                      {"hits", field::hits},
-                                                                      {"end", field::end}}};
+    static constexpr auto answer_fields =
+        std::array<named_field, 8>{{{"snapshot", field::snapshot},
+                                    {"shards", field::shards},
+                                    {"shard", field::shard},
+                                    {"attempt", field::attempt},
+                                    {"incarnation", field::incarnation},
+                                    {"leaving", field::leaving},
+                                    {"hits", field::hits},
+                                    {"end", field::end}}};
     static constexpr auto hit_fields = std::array<named_field, 3>{
         {{"document", field::document}, {"score", field::score}, {"text", field::text}}};
     if (skipped_depth_ > 0) {
--- a/src/query/target_table.cpp
+++ b/src/query/target_table.cpp
@@ -45,7 +45,7 @@
             target->declared = true;
             target->zone_out = view.zones_out.contains(spec.availability_zone);
             target->owners = view.sharing.owners(spec.where, limit);
-            change_share(*target, view.sharing.share(instance_, spec.where, limit), now);
+            change_share(*target, share_among(target->owners, instance_, limit), now);
         }
     }
     std::erase_if(targets_, [](const auto& item) {
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -199,7 +199,7 @@
             auto total = std::int64_t{0};
             auto cold = std::int64_t{0};
             for (const auto& name : names) {
-                const auto share = sharing.share(name, {1, 80}, limit);
+                const auto share = share_among(sharing.owners({1, 80}, limit), name, limit);
                 total += share.connections;
                 cold += share.of(std::min(4, limit));
             }
