Moves between versions: exact split, pooled evidence, latched verdict, one report

Cause: a move could be declared but did nothing. Weighed: a leader that judges (needs an election), each instance alone (too little evidence at 9 instances and 1%), counts that merge in any order (chosen). Change: the version is chosen once per query with an exact split; each instance counts both versions since the move began, rows are told to three random members each 0.2 s; each judges the pooled counts, latches a fault at once, and a store reader records the end by compare-and-swap. Counts of before the move never enter: they are given out only under the move that they were counted for. Found by a mutant: a run retried after any failure was not noticed in virtual time, since silent targets fail at the deadline only; a target that fails after the start was added. Routes within a service and latency quantiles are not compared yet.

--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -37,6 +37,11 @@
 #include <knapweedchute/membership/ownership.hpp>
 #include <knapweedchute/membership/peer_message.hpp>
 #include <knapweedchute/membership/store_readers.hpp>
+#include <knapweedchute/move/evidence_row.hpp>
+#include <knapweedchute/move/move_evidence.hpp>
+#include <knapweedchute/move/move_judge.hpp>
+#include <knapweedchute/move/move_plan.hpp>
+#include <knapweedchute/move/move_result.hpp>
 #include <knapweedchute/platform/http_key_value_store.hpp>
 #include <knapweedchute/platform/key_value_store.hpp>
 #include <knapweedchute/platform/stored_value.hpp>
@@ -79,6 +84,7 @@
 #include <knapweedchute/runtime/http_client.hpp>
 #include <knapweedchute/runtime/http_exchange.hpp>
 #include <knapweedchute/runtime/http_server.hpp>
+#include <knapweedchute/runtime/move_agent.hpp>
 #include <knapweedchute/runtime/network_gate.hpp>
 #include <knapweedchute/runtime/peer_agent.hpp>
 #include <knapweedchute/runtime/peer_call.hpp>
--- a/include/knapweedchute/membership/membership.hpp
+++ b/include/knapweedchute/membership/membership.hpp
@@ -55,6 +55,9 @@
     /// \brief Every known member including this one, ordered by name.
     [[nodiscard]] auto members() const -> std::vector<member>;
 
+    /// \brief Messages that tell a few random members of moves between versions.
+    [[nodiscard]] auto tell_evidence(std::vector<evidence_row> rows) -> std::vector<outgoing>;
+
     /// \brief A random serving member other than this one.
     [[nodiscard]] auto random_peer() -> std::optional<member>;
 
--- a/include/knapweedchute/query/query_coordinator.hpp
+++ b/include/knapweedchute/query/query_coordinator.hpp
@@ -87,6 +87,7 @@
     /// @{
     [[nodiscard]] auto queries_in_progress() const noexcept -> std::size_t;
     [[nodiscard]] auto waiting_parts() const noexcept -> std::size_t { return waiting_count_; }
+    [[nodiscard]] auto service() const noexcept -> const service_spec& { return service_; }
     [[nodiscard]] auto targets() const noexcept -> const target_table& { return table_; }
     [[nodiscard]] auto hedges() const noexcept -> const hedge_policy& { return hedges_; }
     [[nodiscard]] auto tallies() const noexcept -> const std::map<std::string, version_tally>&
--- a/include/knapweedchute/runtime/peer_agent.hpp
+++ b/include/knapweedchute/runtime/peer_agent.hpp
@@ -26,6 +26,12 @@
     /// \brief Called after the set of serving instances changed.
     using members_listener = std::function<void()>;
 
+    /// \brief Receives what a peer tells of moves between versions, on the agent's thread.
+    using evidence_listener = std::function<void(const std::vector<evidence_row>&)>;
+
+    /// \brief Gives what to tell of moves between versions.
+    using evidence_source = std::function<std::vector<evidence_row>(std::size_t)>;
+
     /// \param values      Settings of the process.
     /// \param incarnation Number of this start.
     /// \param codec       Seals and opens messages.
@@ -45,7 +51,9 @@
     [[nodiscard]] auto open() const noexcept -> bool { return socket_.open(); }
 
     /// \brief Starts the threads.
-    auto start() -> void;
+    /// \param heard Receives evidence of moves.
+    /// \param told  Gives evidence of moves.
+    auto start(evidence_listener heard, evidence_source told) -> void;
 
     /// \brief Announces that this instance is leaving or has left.
     auto announce(member_state state) -> void;
@@ -71,6 +79,7 @@
     auto handle(const address& sender, const std::string& content) -> void;
     auto send(const std::vector<outgoing>& messages) -> void;
     auto advance() -> void;
+    auto tell_evidence() -> void;
     auto note_members() -> void;
     auto want_fetch(const address& peer, std::uint64_t version) -> void;
     auto fetch_configuration(const address& peer) -> void;
@@ -84,6 +93,9 @@
     const network_gate* gate_;
     counter_set* counters_;
     members_listener changed_;
+    evidence_listener heard_;
+    evidence_source told_;
+    time_point next_evidence_;
     datagram_socket socket_;
     mutable std::mutex mutex_;
     membership membership_;
--- a/include/knapweedchute/runtime/query_engine.hpp
+++ b/include/knapweedchute/runtime/query_engine.hpp
@@ -46,6 +46,13 @@
     [[nodiscard]] auto issue_id() -> std::string;
     /// @}
 
+    /// \name Moves between versions
+    /// @{
+    auto set_new_version_share(const std::string& service, std::int64_t share_permil) -> void;
+    [[nodiscard]] auto tallies(const std::string& service, const move_spec& move) const
+        -> std::map<std::string, version_tally>;
+    /// @}
+
     /// \brief Requests in progress.
     [[nodiscard]] auto in_progress() const noexcept -> std::size_t { return in_progress_; }
 
--- a/include/knapweedchute/runtime/query_instance.hpp
+++ b/include/knapweedchute/runtime/query_instance.hpp
@@ -2,6 +2,7 @@
 
 #include <knapweedchute/runtime/admin_api.hpp>
 #include <knapweedchute/runtime/caller_api.hpp>
+#include <knapweedchute/runtime/move_agent.hpp>
 #include <knapweedchute/runtime/peer_forwarder.hpp>
 #include <knapweedchute/runtime/peer_server.hpp>
 #include <knapweedchute/runtime/store_agent.hpp>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <thread>
 
 namespace knapweedchute {
 
@@ -46,6 +48,7 @@
 
 private:
     auto reconfigure() -> void;
+    auto move_loop() -> void;
     [[nodiscard]] auto serve_peer(const peer_call& call) -> peer_reply;
     [[nodiscard]] auto search_for_peer(const peer_call& call) -> std::optional<query_answer>;
     auto wait_while_serving(milliseconds time) -> void;
@@ -57,6 +60,7 @@
     peer_caller caller_;
     peer_forwarder forwarder_;
     query_engine engine_;
+    move_agent moves_;
     std::mutex reconfigure_mutex_;
     peer_agent peers_;
     store_agent store_;
@@ -67,6 +71,8 @@
     std::unique_ptr<peer_server> peer_server_;
     std::unique_ptr<http_server> caller_server_;
     std::unique_ptr<http_server> admin_server_;
+    std::atomic<bool> ending_{false};
+    std::thread move_thread_;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/runtime/service_lane.hpp
+++ b/include/knapweedchute/runtime/service_lane.hpp
@@ -46,6 +46,12 @@
     /// \brief Periodic work; returns when it is due next.
     auto tick(time_point now) -> time_point;
 
+    /// \brief Sets the share of queries that the new version of a move gets. Any thread.
+    auto set_new_version_share(std::int64_t share_permil) -> void;
+
+    /// \brief Counts per version since a move began; empty before it is in force here. Any thread.
+    [[nodiscard]] auto tallies(const move_spec& move) const -> std::map<std::string, version_tally>;
+
     /// \brief Requests in progress.
     [[nodiscard]] auto queries_in_progress() const -> std::size_t;
 
--- a/include/knapweedchute/runtime/store_agent.hpp
+++ b/include/knapweedchute/runtime/store_agent.hpp
@@ -5,6 +5,7 @@
 #include <knapweedchute/config/settings.hpp>
 #include <knapweedchute/core/counter_set.hpp>
 #include <knapweedchute/platform/http_key_value_store.hpp>
+#include <knapweedchute/runtime/move_agent.hpp>
 #include <knapweedchute/runtime/peer_agent.hpp>
 
 #include <condition_variable>
@@ -21,10 +22,11 @@
     /// \param values   Settings of the process.
     /// \param holder   Receives configurations; outlives the agent.
     /// \param peers    Tells who reads and spreads what was read; outlives the agent.
+    /// \param moves    Tells which final reports are wanted; outlives the agent.
     /// \param counters Receives events; outlives the agent.
     /// \param seed     Seed of the jitter.
     store_agent(const settings& values, configuration_holder& holder, peer_agent& peers,
-                counter_set& counters, std::uint64_t seed);
+                move_agent& moves, counter_set& counters, std::uint64_t seed);
     store_agent(const store_agent&) = delete;
     auto operator=(const store_agent&) -> store_agent& = delete;
     ~store_agent();
@@ -35,11 +37,14 @@
 private:
     auto loop() -> void;
     [[nodiscard]] auto read_once() -> bool;
+    auto record_moves() -> void;
+    auto record(const move_report& report) -> void;
     [[nodiscard]] auto next_wait(std::size_t failures) -> milliseconds;
 
     settings settings_;
     configuration_holder* holder_;
     peer_agent* peers_;
+    move_agent* moves_;
     counter_set* counters_;
     http_key_value_store service_;
     configuration_store store_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -88,6 +88,17 @@
     proof_age_ms_ = proof_age_ms;
 }
 
+auto membership::tell_evidence(std::vector<evidence_row> rows) -> std::vector<outgoing>
+{
+    auto messages = std::vector<outgoing>{};
+    for (const auto& peer : random_members(options_.rumour_fanout, false)) {
+        auto message = peer_message{
+            peer_message_kind::evidence, self_, 0, {}, config_version_, proof_age_ms_, {}, rows};
+        messages.push_back({peer.peer_address, std::move(message)});
+    }
+    return messages;
+}
+
 auto membership::random_peer() -> std::optional<member>
 {
     const auto chosen = random_members(1, false);
@@ -122,7 +133,7 @@
 
 auto membership::make(peer_message_kind kind, std::uint64_t sequence) -> peer_message
 {
-    auto message = peer_message{kind, self_, sequence, {}, config_version_, proof_age_ms_, {}};
+    auto message = peer_message{kind, self_, sequence, {}, config_version_, proof_age_ms_, {}, {}};
     // Goes on after the member that was told last, so that no news waits behind others for ever.
     auto next = entries_.upper_bound(last_news_);
     for (auto seen = std::size_t{0}; seen < entries_.size(); ++seen) {
--- a/src/query/query_coordinator.cpp
+++ b/src/query/query_coordinator.cpp
@@ -17,6 +17,11 @@
 
 auto query_coordinator::configure(const service_view& view, time_point now) -> action_list
 {
+    const auto same_move = service_.move == view.service.move;
+    if (!same_move) {
+        tallies_.clear();
+        new_version_share_permil_ = 0;
+    }
     service_ = view.service;
     table_.configure(view, now);
     return tick(now);
--- a/src/runtime/admin_api.cpp
+++ b/src/runtime/admin_api.cpp
@@ -33,8 +33,9 @@
 };
 
 admin_api::admin_api(const settings& values, query_engine& engine, peer_agent& peers,
-                     configuration_holder& holder, counter_set& counters)
-    : settings_{values}, engine_{&engine}, peers_{&peers}, holder_{&holder}, counters_{&counters}
+                     configuration_holder& holder, move_agent& moves, counter_set& counters)
+    : settings_{values}, engine_{&engine}, peers_{&peers}, holder_{&holder}, moves_{&moves},
+      counters_{&counters}
 {
 }
 
@@ -86,6 +87,7 @@
                                      {"local_health", peers_->local_health()},
                                      {"queries_in_progress", engine_->in_progress()},
                                      {"members", members},
+                                     {"moves", moves_->dump()},
                                      {"counters", counters},
                                      {"services", engine_->dump()}};
     return {200U, json.dump(2), "application/json", false};
--- a/src/runtime/peer_agent.cpp
+++ b/src/runtime/peer_agent.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr auto advance_interval = milliseconds{50};
+constexpr auto evidence_interval = milliseconds{200};
 constexpr auto shortest_synchronization = milliseconds{500};
 constexpr auto longest_synchronization = seconds{60};
 constexpr auto fetch_timeout = milliseconds{2'000};
@@ -50,8 +51,10 @@
     }
 }
 
-auto peer_agent::start() -> void
+auto peer_agent::start(evidence_listener heard, evidence_source told) -> void
 {
+    heard_ = std::move(heard);
+    told_ = std::move(told);
     note_members();
     datagram_thread_ = std::thread{[this] { datagram_loop(); }};
     fetch_thread_ = std::thread{[this] { fetch_loop(); }};
@@ -143,9 +146,29 @@
     }
     holder_->set_majority_reachable(majority);
     send(messages);
+    tell_evidence();
     note_members();
 }
 
+auto peer_agent::tell_evidence() -> void
+{
+    const auto now = steady_clock::now();
+    if (now < next_evidence_) {
+        return;
+    }
+    next_evidence_ = now + evidence_interval;
+    auto rows = told_(most_evidence_rows);
+    if (rows.empty()) {
+        return;
+    }
+    auto messages = std::vector<outgoing>{};
+    {
+        const auto lock = std::lock_guard{mutex_};
+        messages = membership_.tell_evidence(std::move(rows));
+    }
+    send(messages);
+}
+
 auto peer_agent::handle(const address& sender, const std::string& content) -> void
 {
     counters_->add(counter::datagrams_received);
@@ -158,6 +181,9 @@
                          {{"from", to_string(sender)}, {"reason", to_string(reason)}});
         return;
     }
+    if (!message->evidence.empty()) {
+        heard_(message->evidence);
+    }
     const auto now = steady_clock::now();
     auto replies = std::vector<outgoing>{};
     auto members_known = std::size_t{0};
--- a/src/runtime/query_engine.cpp
+++ b/src/runtime/query_engine.cpp
@@ -150,6 +150,21 @@
     return ledger_.issue(steady_clock::now());
 }
 
+auto query_engine::set_new_version_share(const std::string& service, std::int64_t share_permil)
+    -> void
+{
+    if (const auto* slot = find_lane(service); slot != nullptr) {
+        slot->lane->set_new_version_share(share_permil);
+    }
+}
+
+auto query_engine::tallies(const std::string& service, const move_spec& move) const
+    -> std::map<std::string, version_tally>
+{
+    const auto* slot = find_lane(service);
+    return slot == nullptr ? std::map<std::string, version_tally>{} : slot->lane->tallies(move);
+}
+
 auto query_engine::dump() const -> nlohmann::json
 {
     const auto now = steady_clock::now();
--- a/src/runtime/query_instance.cpp
+++ b/src/runtime/query_instance.cpp
@@ -1,6 +1,8 @@
 #include <knapweedchute/core/log.hpp>
 #include <knapweedchute/runtime/query_instance.hpp>
 
+#include <xxhash.h>
+
 #include <future>
 #include <thread>
 #include <utility>
@@ -10,10 +12,16 @@
 
 constexpr auto largest_admin_body = std::size_t{17'000'000};
 constexpr auto wait_step = milliseconds{20};
+constexpr auto move_interval = milliseconds{100};
 constexpr auto farewell = milliseconds{200};
 constexpr auto search_grace = milliseconds{50};
 const auto log_line = logger{"instance"};
 
+auto source_of(const settings& values, std::uint64_t incarnation) -> std::uint64_t
+{
+    return XXH3_64bits_withSeed(values.instance.data(), values.instance.size(), incarnation);
+}
+
 auto envelope_of(const settings& values) -> envelope
 {
     return {values.deployment, message_key{values.key}};
@@ -26,11 +34,13 @@
     : settings_{values}, codec_{envelope_of(values)}, holder_{values.freshness_limit},
       caller_{codec_, gate, counters_}, forwarder_{caller_}, engine_{values, incarnation, holder_,
                                                                      forwarder_, counters_},
+      moves_{holder_, engine_, source_of(values, incarnation)},
       peers_{values,  incarnation, codec_,    holder_,
              caller_, gate,        counters_, [this] { reconfigure(); }},
-      store_{values, holder_, peers_, counters_, incarnation},
-      caller_api_{values, engine_, peers_, holder_, counters_}, admin_api_{values, engine_, peers_,
-                                                                           holder_, counters_}
+      store_{values, holder_, peers_, moves_, counters_, incarnation},
+      caller_api_{values, engine_, peers_, holder_, counters_}, admin_api_{values, engine_,
+                                                                           peers_, holder_,
+                                                                           moves_, counters_}
 {
     holder_.listen([this](const auto& accepted) {
         counters_.add(counter::configurations_adopted);
@@ -42,6 +52,10 @@
 
 query_instance::~query_instance()
 {
+    ending_ = true;
+    if (move_thread_.joinable()) {
+        move_thread_.join();
+    }
     caller_server_.reset();
     admin_server_.reset();
     peer_server_.reset();
@@ -78,7 +92,9 @@
         return false;
     }
     forwarder_.start(peers_);
-    peers_.start();
+    peers_.start([this](const auto& rows) { moves_.merge(rows); },
+                 [this](auto count) { return moves_.next_rows(count); });
+    move_thread_ = std::thread{[this] { move_loop(); }};
     store_.start();
     log_line.info("Started.", {{"instance", settings_.instance},
                                {"callers", to_string(settings_.caller_address)}});
@@ -115,6 +131,15 @@
     engine_.configure(*accepted, peers_.members());
 }
 
+auto query_instance::move_loop() -> void
+{
+    while (!ending_) {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        moves_.advance(std::chrono::duration_cast<seconds>(now).count());
+        std::this_thread::sleep_for(move_interval);
+    }
+}
+
 auto query_instance::serve_peer(const peer_call& call) -> peer_reply
 {
     auto reply = peer_reply{};
--- a/src/runtime/service_lane.cpp
+++ b/src/runtime/service_lane.cpp
@@ -109,6 +109,19 @@
     return std::min(next_sweep_, now + idle_interval);
 }
 
+auto service_lane::set_new_version_share(std::int64_t share_permil) -> void
+{
+    const auto lock = std::lock_guard{mutex_};
+    coordinator_.set_new_version_share(share_permil);
+}
+
+auto service_lane::tallies(const move_spec& move) const -> std::map<std::string, version_tally>
+{
+    const auto lock = std::lock_guard{mutex_};
+    const auto counts_this_move = coordinator_.service().move == move;
+    return counts_this_move ? coordinator_.tallies() : std::map<std::string, version_tally>{};
+}
+
 auto service_lane::queries_in_progress() const -> std::size_t
 {
     const auto lock = std::lock_guard{mutex_};
--- a/src/runtime/store_agent.cpp
+++ b/src/runtime/store_agent.cpp
@@ -14,8 +14,8 @@
 } // namespace
 
 store_agent::store_agent(const settings& values, configuration_holder& holder, peer_agent& peers,
-                         counter_set& counters, std::uint64_t seed)
-    : settings_{values}, holder_{&holder}, peers_{&peers}, counters_{&counters},
+                         move_agent& moves, counter_set& counters, std::uint64_t seed)
+    : settings_{values}, holder_{&holder}, peers_{&peers}, moves_{&moves}, counters_{&counters},
       service_{values.platform_address, call_timeout, counters}, store_{service_, tries_per_call},
       random_{seed}
 {
@@ -46,6 +46,9 @@
         lock.unlock();
         const auto wanted = peers_->reads_store() || holder_->version() == 0;
         const auto succeeded = !wanted || read_once();
+        if (wanted && succeeded) {
+            record_moves();
+        }
         failures = succeeded ? 0 : failures + 1;
         lock.lock();
         wake_.wait_for(lock, next_wait(failures), [this] { return stopping_; });
@@ -80,6 +83,32 @@
     return true;
 }
 
+auto store_agent::record_moves() -> void
+{
+    for (const auto& report : moves_->wanted_reports()) {
+        record(report);
+    }
+}
+
+auto store_agent::record(const move_report& report) -> void
+{
+    auto reason = error{};
+    const auto key = report_key(report.move);
+    if (service_.compare_and_swap(key, 0, encode_report(report), reason)) {
+        log_line.info("Move ended.", {{"service", report.service},
+                                      {"version", report.version},
+                                      {"result", std::string{to_string(report.result)}},
+                                      {"fault", std::string{to_string(report.fault)}}});
+        moves_->on_recorded(report.move, report.result);
+        return;
+    }
+    // Another instance was first, or this one was and its answer was lost: what is stored counts.
+    const auto stored = service_.read(key, reason);
+    if (stored && stored->revision != 0) {
+        moves_->on_recorded(report.move, decode_report_result(stored->value));
+    }
+}
+
 auto store_agent::next_wait(std::size_t failures) -> milliseconds
 {
     const auto doublings = std::min(failures, most_backoff_doublings);
--- a/tests/support/coordinator_driver.cpp
+++ b/tests/support/coordinator_driver.cpp
@@ -190,6 +190,10 @@
         fail_later(instance, run.attempt, attempt_failure::timed_out, run.deadline - now_);
         return;
     }
+    if (target.loses_run_answers) {
+        fail_later(instance, run.attempt, attempt_failure::failed, delay * 2);
+        return;
+    }
     after(delay * 2 + service_time(target), [this, instance, attempt = run.attempt] {
         execute(instance, instances_[instance].coordinator->complete_run(attempt, "{}", now_));
     });
--- a/tests/support/coordinator_driver.hpp
+++ b/tests/support/coordinator_driver.hpp
@@ -24,8 +24,9 @@
     std::int64_t cold_requests = 1'000; ///< Requests in progress that it bears when cold.
     duration warmup = milliseconds{1};
     time_point cold_since;
-    bool down = false;   ///< Refuses connections.
-    bool silent = false; ///< Never answers.
+    bool down = false;              ///< Refuses connections.
+    bool silent = false;            ///< Never answers.
+    bool loses_run_answers = false; ///< Runs requests, then fails.
     std::int64_t in_progress = 0;
     std::int64_t over_bearing = 0; ///< Requests that arrived above what it bears.
     std::uint64_t served = 0;
--- a/tests/support/platform_stand_in.cpp
+++ b/tests/support/platform_stand_in.cpp
@@ -23,6 +23,18 @@
         [](const auto&) { return status_only(413U); });
 }
 
+auto platform_stand_in::values_with(const std::string& prefix) -> std::vector<std::string>
+{
+    const auto lock = std::lock_guard{mutex_};
+    auto found = std::vector<std::string>{};
+    for (const auto& [key, stored] : values_) {
+        if (key.starts_with(prefix)) {
+            found.push_back(stored.value);
+        }
+    }
+    return found;
+}
+
 auto platform_stand_in::handle(const http_call& call) -> http_reply
 {
     if (outage_) {
--- a/tests/support/platform_stand_in.hpp
+++ b/tests/support/platform_stand_in.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace knapweedchute::test {
 
@@ -28,6 +29,9 @@
     auto answer_old(int count) -> void { old_answers_ = count; }
     /// @}
 
+    /// \brief Values whose key starts with a prefix.
+    [[nodiscard]] auto values_with(const std::string& prefix) -> std::vector<std::string>;
+
     [[nodiscard]] auto listening() const -> bool { return server_->listening(); }
     [[nodiscard]] auto reads() const -> std::uint64_t { return reads_; }
     [[nodiscard]] auto writes() const -> std::uint64_t { return writes_; }
--- a/tests/support/scenario_runner.cpp
+++ b/tests/support/scenario_runner.cpp
@@ -182,6 +182,24 @@
     return 0;
 }
 
+/// move(version, seconds_left)
+auto lua_move(lua_State* lua) -> int
+{
+    world_of(lua).set_move(text_at(lua, 1), luaL_checkinteger(lua, 2));
+    return 0;
+}
+
+/// reports() -> list of stored final reports, each a table
+auto lua_reports(lua_State* lua) -> int
+{
+    auto reports = nlohmann::json::array();
+    for (const auto& text : world_of(lua).platform().values_with("move.")) {
+        reports.push_back(nlohmann::json::parse(text));
+    }
+    push_json(lua, reports);
+    return 1;
+}
+
 /// apply(base) -> version or nil, error name
 auto lua_apply(lua_State* lua) -> int
 {
@@ -343,6 +361,8 @@
         {"zone", lua_zone},
         {"version", lua_version},
         {"apply", lua_apply},
+        {"move", lua_move},
+        {"reports", lua_reports},
         {"push_to", lua_push_to},
         {"in_force", lua_in_force},
         {"members", lua_members},
--- a/tests/support/scenario_world.cpp
+++ b/tests/support/scenario_world.cpp
@@ -120,6 +120,13 @@
     }
 }
 
+auto scenario_world::set_move(const std::string& to, std::int64_t seconds_left) -> void
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto unix_s = std::chrono::duration_cast<seconds>(now).count();
+    move_ = move_spec{to, unix_s + seconds_left, {100, 500, 1'000}};
+}
+
 auto scenario_world::apply(std::uint64_t base, std::string& failure) -> std::uint64_t
 {
     auto counters = counter_set{};
@@ -226,9 +233,14 @@
     for (const auto& [name, targets] : by_version) {
         versions.push_back({{"name", name}, {"targets", targets}});
     }
-    const auto service = nlohmann::json{{"name", "s"},         {"workspace", "kerkenna"},
-                                        {"version", version_}, {"connections_per_replica", 25},
-                                        {"warmup_ms", 1},      {"versions", versions}};
+    auto service = nlohmann::json{{"name", "s"},         {"workspace", "kerkenna"},
+                                  {"version", version_}, {"connections_per_replica", 25},
+                                  {"warmup_ms", 1},      {"versions", versions}};
+    if (move_) {
+        service["move"] = {{"to", move_->to},
+                           {"finish_by_unix_s", move_->finish_by_unix_s},
+                           {"steps_permil", move_->steps_permil}};
+    }
     return nlohmann::json{{"availability_zones", zones}, {"services", {service}}}.dump();
 }
 
--- a/tests/support/scenario_world.hpp
+++ b/tests/support/scenario_world.hpp
@@ -59,6 +59,7 @@
     /// @{
     auto set_zone(const std::string& zone, bool out) -> void;
     auto set_version(const std::string& version) -> void { version_ = version; }
+    auto set_move(const std::string& to, std::int64_t seconds_left) -> void;
 
     /// \brief Applies what is declared now; returns the version or the error's name.
     [[nodiscard]] auto apply(std::uint64_t base, std::string& failure) -> std::uint64_t;
@@ -110,6 +111,7 @@
     std::set<std::string> zones_;
     std::set<std::string> zones_out_;
     std::string version_ = "v1";
+    std::optional<move_spec> move_;
     std::uint64_t changes_ = 0;
     nlohmann::json last_accepted_;
     std::uint64_t next_incarnation_ = 1;
--- a/tests/unit/cold_start_test.cpp
+++ b/tests/unit/cold_start_test.cpp
@@ -5,8 +5,7 @@
 using namespace knapweedchute;
 using namespace knapweedchute::test;
 
-namespace
-{
+namespace {
 
 constexpr auto deadline = milliseconds{200};
 
@@ -87,5 +86,4 @@
     BOOST_TEST(over_bearing() == 0);
 }
 
-
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/decoder_test.cpp
+++ b/tests/unit/decoder_test.cpp
@@ -108,6 +108,16 @@
     BOOST_TEST(codec.seal(value).size() <= datagram_socket::largest_datagram);
 }
 
+BOOST_AUTO_TEST_CASE(peer_message_full_of_evidence_fits_a_datagram)
+{
+    auto value = message();
+    value.from.instance.assign(longest_member_text, 'x');
+    value.from.availability_zone.assign(longest_member_text, 'x');
+    value.news.clear();
+    value.evidence.assign(most_evidence_rows, {});
+    BOOST_TEST(codec.seal(value).size() <= datagram_socket::largest_datagram);
+}
+
 BOOST_AUTO_TEST_CASE(decoders_random_bytes_are_refused)
 {
     BOOST_TEST(rc::check([&](const std::string& bytes) { decode_all(bytes); }));
--- a/tests/unit/query_coordinator_test.cpp
+++ b/tests/unit/query_coordinator_test.cpp
@@ -249,6 +249,17 @@
     check();
 }
 
+BOOST_AUTO_TEST_CASE(run_target_fails_after_the_start_is_unknown_and_sent_once)
+{
+    for (auto& [address, fake] : driver.targets()) {
+        fake.loses_run_answers = true;
+    }
+    driver.run_request_at(0, "id-1", deadline);
+    driver.advance(deadline);
+    BOOST_TEST((last_refusal().execution == outcome::unknown));
+    check();
+}
+
 BOOST_AUTO_TEST_CASE(run_all_targets_down_is_not_run)
 {
     for (auto& [address, fake] : driver.targets()) {
