Instances are given to callers only when they serve, and leave before they stop

Ruled out: cut connections (none), addresses that could not be reached (none). Change: a member state joining until the configuration is fresh and shares have been held for 3 s; a stop waits 1 s for the news to spread before the addresses' lifetime. One shared decoder of JSON objects, one start of scenarios, socket addresses in one place.

--- a/include/knapweedchute/config/object_reader.hpp
+++ b/include/knapweedchute/config/object_reader.hpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace knapweedchute {
@@ -59,6 +60,12 @@
     auto each(std::string_view key,
               const std::function<void(const nlohmann::json&, const std::string&)>& visit) -> void;
 
+    /// \brief Reader of an object inside this one that records its faults in the same list.
+    [[nodiscard]] auto nested(const nlohmann::json& object, std::string path) -> object_reader
+    {
+        return {object, std::move(path), *faults_};
+    }
+
     /// \brief The value of an optional key, or null.
     [[nodiscard]] auto child(std::string_view key) -> const nlohmann::json*;
 
@@ -80,4 +87,25 @@
     std::set<std::string, std::less<>> known_;
 };
 
+/// \brief Parses the text of one JSON object and has its keys read.
+/// \param reason Filled with the first fault when nothing is returned.
+/// \param read   Called with the reader of the object; returns the value.
+template <typename Read>
+[[nodiscard]] auto decode_object(std::string_view text, error& reason, Read read)
+    -> std::optional<decltype(read(std::declval<object_reader&>()))>
+{
+    const auto json = parse_json(text, reason);
+    if (!json) {
+        return std::nullopt;
+    }
+    auto faults = fault_list{};
+    auto reader = object_reader{*json, "", faults};
+    auto value = read(reader);
+    if (!faults.empty()) {
+        reason = faults.front();
+        return std::nullopt;
+    }
+    return value;
+}
+
 } // namespace knapweedchute
--- a/include/knapweedchute/config/operators_file.hpp
+++ b/include/knapweedchute/config/operators_file.hpp
@@ -3,6 +3,8 @@
 #include <knapweedchute/config/availability_zone_spec.hpp>
 #include <knapweedchute/config/service_spec.hpp>
 
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -19,8 +21,8 @@
     /// \brief The service of this name, or null.
     [[nodiscard]] auto find_service(std::string_view name) const noexcept -> const service_spec*;
 
-    /// \brief Whether the availability zone is declared and taken out.
-    [[nodiscard]] auto zone_out(std::string_view name) const noexcept -> bool;
+    /// \brief Names of the availability zones that are taken out.
+    [[nodiscard]] auto zones_out() const -> std::set<std::string>;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -95,6 +95,7 @@
 #include <knapweedchute/runtime/query_engine.hpp>
 #include <knapweedchute/runtime/query_instance.hpp>
 #include <knapweedchute/runtime/service_lane.hpp>
+#include <knapweedchute/runtime/socket_address.hpp>
 #include <knapweedchute/runtime/store_agent.hpp>
 #include <knapweedchute/runtime/transfer.hpp>
 #include <knapweedchute/runtime/transfer_worker.hpp>
--- a/include/knapweedchute/membership/member.hpp
+++ b/include/knapweedchute/membership/member.hpp
@@ -23,7 +23,7 @@
 
     [[nodiscard]] auto operator<=>(const member&) const = default;
 
-    /// \brief Whether it takes part in serving: alive, leaving or only suspected.
+    /// \brief Whether it takes part: joining, alive, leaving or only suspected.
     [[nodiscard]] auto serving() const noexcept -> bool { return state <= member_state::suspect; }
 };
 
--- a/include/knapweedchute/membership/member_state.hpp
+++ b/include/knapweedchute/membership/member_state.hpp
@@ -8,7 +8,8 @@
 /// \brief What is believed of a member. At one incarnation a later state replaces an earlier one.
 enum class member_state : std::uint8_t
 {
-    alive,   ///< Answers probes.
+    joining, ///< Runs, but does not serve callers yet.
+    alive,   ///< Answers probes and serves callers.
     leaving, ///< Still serves, takes no new callers.
     suspect, ///< Missed a probe; may refute.
     dead,    ///< Did not refute in time.
--- a/include/knapweedchute/membership/membership.hpp
+++ b/include/knapweedchute/membership/membership.hpp
@@ -40,7 +40,7 @@
     /// \brief Takes in a member list fetched from a peer.
     auto merge(const std::vector<member>& members, time_point now) -> void;
 
-    /// \brief Announces that this instance is leaving, then has left.
+    /// \brief Announces a later state of this instance: it serves, is leaving, has left.
     auto announce(member_state state) -> void;
 
     /// \brief Sets what outgoing messages say of the configuration in force.
@@ -56,7 +56,8 @@
     [[nodiscard]] auto members() const -> std::vector<member>;
 
     /// \brief Messages that tell a few random members of moves between versions.
-    [[nodiscard]] auto tell_evidence(std::vector<evidence_row> rows) -> std::vector<outgoing>;
+    [[nodiscard]] auto tell_evidence(const std::vector<evidence_row>& rows)
+        -> std::vector<outgoing>;
 
     /// \brief A random serving member other than this one.
     [[nodiscard]] auto random_peer() -> std::optional<member>;
--- a/include/knapweedchute/move/evidence_row.hpp
+++ b/include/knapweedchute/move/evidence_row.hpp
@@ -5,10 +5,10 @@
 #include <knapweedchute/query/version_tally.hpp>
 
 #include <cereal/cereal.hpp>
+
 #include <cstdint>
 
-namespace knapweedchute
-{
+namespace knapweedchute {
 
 /// \brief Identity of a move: a hash of service, target version and set time.
 using move_key = std::uint64_t;
@@ -19,12 +19,12 @@
 /// \brief What one instance counted for one move, and what it knows of the move's end.
 struct evidence_row
 {
-    move_key move = 0;                                ///< Move that the counts belong to.
-    std::uint64_t source = 0;                         ///< Hash of instance and incarnation.
-    version_tally old_version;                        ///< Counts of the version that serves.
-    version_tally new_version;                        ///< Counts of the version that takes over.
-    move_fault latched = move_fault::none;            ///< Fault that stopped the new version.
-    move_result recorded = move_result::running;      ///< Final report, once it is stored.
+    move_key move = 0;                           ///< Move that the counts belong to.
+    std::uint64_t source = 0;                    ///< Hash of instance and incarnation.
+    version_tally old_version;                   ///< Counts of the version that serves.
+    version_tally new_version;                   ///< Counts of the version that takes over.
+    move_fault latched = move_fault::none;       ///< Fault that stopped the new version.
+    move_result recorded = move_result::running; ///< Final report, once it is stored.
 
     [[nodiscard]] auto operator==(const evidence_row&) const -> bool = default;
 };
--- a/include/knapweedchute/move/move_evidence.hpp
+++ b/include/knapweedchute/move/move_evidence.hpp
@@ -8,8 +8,7 @@
 #include <utility>
 #include <vector>
 
-namespace knapweedchute
-{
+namespace knapweedchute {
 
 /// \brief Evidence of all instances on all moves.
 ///
@@ -17,7 +16,7 @@
 ///         latched fault is never released, a recorded end never changes.
 class move_evidence
 {
-  public:
+public:
     /// \brief Takes in a row, own or from a peer.
     auto merge(const evidence_row& row) -> void;
 
@@ -39,7 +38,7 @@
     /// \brief Forgets moves that are not declared any more.
     auto keep_only(const std::set<move_key>& moves) -> void;
 
-  private:
+private:
     struct progress
     {
         std::map<std::uint64_t, std::pair<version_tally, version_tally>> by_source;
--- a/include/knapweedchute/move/move_judge.hpp
+++ b/include/knapweedchute/move/move_judge.hpp
@@ -3,8 +3,7 @@
 #include <knapweedchute/move/move_result.hpp>
 #include <knapweedchute/query/version_tally.hpp>
 
-namespace knapweedchute
-{
+namespace knapweedchute {
 
 /// \brief Compares the new version with the old one, counted at the same time.
 ///
@@ -12,7 +11,7 @@
 ///         standard error, so that a failure that hits both versions is no fault of the new one.
 ///         A fault must also be gross: at least twice the old share, in at least five queries.
 /// \returns The fault, or `none` while there is none.
-[[nodiscard]] auto judge(const version_tally& old_version, const version_tally& new_version) noexcept
-    -> move_fault;
+[[nodiscard]] auto judge(const version_tally& old_version,
+                         const version_tally& new_version) noexcept -> move_fault;
 
 } // namespace knapweedchute
--- a/include/knapweedchute/move/move_plan.hpp
+++ b/include/knapweedchute/move/move_plan.hpp
@@ -6,15 +6,14 @@
 
 #include <cstdint>
 
-namespace knapweedchute
-{
+namespace knapweedchute {
 
 /// \brief What to do about a move now.
 struct move_decision
 {
-    std::int64_t share_permil = 0;                ///< Queries for the new version, in thousandths.
-    move_result wanted = move_result::running;    ///< End that should be recorded, if any.
-    move_fault fault = move_fault::none;          ///< Why it is taken back.
+    std::int64_t share_permil = 0;             ///< Queries for the new version, in thousandths.
+    move_result wanted = move_result::running; ///< End that should be recorded, if any.
+    move_fault fault = move_fault::none;       ///< Why it is taken back.
 
     [[nodiscard]] auto operator==(const move_decision&) const -> bool = default;
 };
--- a/include/knapweedchute/move/move_result.hpp
+++ b/include/knapweedchute/move/move_result.hpp
@@ -3,8 +3,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace knapweedchute
-{
+namespace knapweedchute {
 
 /// \brief Where a move between versions stands.
 enum class move_result : std::uint8_t
--- a/include/knapweedchute/runtime/move_agent.hpp
+++ b/include/knapweedchute/runtime/move_agent.hpp
@@ -5,20 +5,20 @@
 #include <knapweedchute/move/move_plan.hpp>
 #include <knapweedchute/runtime/query_engine.hpp>
 
-#include <mutex>
 #include <nlohmann/json.hpp>
+
+#include <mutex>
 #include <string>
 #include <vector>
 
-namespace knapweedchute
-{
+namespace knapweedchute {
 
 /// \brief Final report of a move as it is stored: exactly one per move.
 struct move_report
 {
-    move_key move = 0;       ///< Move that ended.
-    std::string service;     ///< Service that moved.
-    std::string version;     ///< Version that should have taken over.
+    move_key move = 0;                         ///< Move that ended.
+    std::string service;                       ///< Service that moved.
+    std::string version;                       ///< Version that should have taken over.
     move_result result = move_result::running; ///< How it ended.
     move_fault fault = move_fault::none;       ///< Why it was taken back.
 
@@ -37,7 +37,7 @@
 /// \brief Drives the moves of all services on one instance. May be used from any thread.
 class move_agent
 {
-  public:
+public:
     /// \param holder Configuration in force; outlives the agent.
     /// \param engine Counts queries and takes shares; outlives the agent.
     /// \param source Hash of instance and incarnation.
@@ -64,7 +64,7 @@
     /// \brief State for the dump.
     [[nodiscard]] auto dump() const -> nlohmann::json;
 
-  private:
+private:
     auto advance_service(const service_spec& service, std::int64_t unix_s) -> void;
 
     configuration_holder* holder_;
--- a/include/knapweedchute/runtime/peer_agent.hpp
+++ b/include/knapweedchute/runtime/peer_agent.hpp
@@ -55,7 +55,7 @@
     /// \param told  Gives evidence of moves.
     auto start(evidence_listener heard, evidence_source told) -> void;
 
-    /// \brief Announces that this instance is leaving or has left.
+    /// \brief Announces that this instance serves, is leaving or has left.
     auto announce(member_state state) -> void;
 
     /// \brief Spreads a new version at once instead of at the next probe.
--- a/include/knapweedchute/runtime/query_instance.hpp
+++ b/include/knapweedchute/runtime/query_instance.hpp
@@ -48,7 +48,8 @@
 
 private:
     auto reconfigure() -> void;
-    auto move_loop() -> void;
+    auto periodic_loop() -> void;
+    auto announce_when_ready() -> void;
     [[nodiscard]] auto serve_peer(const peer_call& call) -> peer_reply;
     [[nodiscard]] auto search_for_peer(const peer_call& call) -> std::optional<query_answer>;
     auto wait_while_serving(milliseconds time) -> void;
@@ -72,7 +73,8 @@
     std::unique_ptr<http_server> caller_server_;
     std::unique_ptr<http_server> admin_server_;
     std::atomic<bool> ending_{false};
-    std::thread move_thread_;
+    std::optional<time_point> first_fresh_;
+    std::thread periodic_thread_;
 };
 
 } // namespace knapweedchute
--- a/src/config/configuration_head.cpp
+++ b/src/config/configuration_head.cpp
@@ -40,30 +40,22 @@
 
 auto decode_head(std::string_view text, error& reason) -> std::optional<configuration_head>
 {
-    const auto json = parse_json(text, reason);
-    if (!json) {
-        return std::nullopt;
-    }
-    auto faults = fault_list{};
-    auto reader = object_reader{*json, "", faults};
-    auto head = configuration_head{};
-    head.version = static_cast<std::uint64_t>(reader.integer("version", 1, any_number));
-    head.change = reader.text("change");
-    head.digest = reader.text("digest");
-    head.parts = static_cast<std::uint64_t>(reader.integer("parts", 1, most_parts));
-    head.previous_change = reader.text_or("previous_change", {});
-    head.previous_parts =
-        static_cast<std::uint64_t>(reader.integer_or("previous_parts", 0, most_parts, 0));
-    reader.each("recent_changes", [&](const auto& element, const auto&) {
-        if (element.is_string()) {
-            head.recent_changes.push_back(element.template get<std::string>());
-        }
+    return decode_object(text, reason, [](auto& reader) {
+        auto head = configuration_head{};
+        head.version = static_cast<std::uint64_t>(reader.integer("version", 1, any_number));
+        head.change = reader.text("change");
+        head.digest = reader.text("digest");
+        head.parts = static_cast<std::uint64_t>(reader.integer("parts", 1, most_parts));
+        head.previous_change = reader.text_or("previous_change", {});
+        head.previous_parts =
+            static_cast<std::uint64_t>(reader.integer_or("previous_parts", 0, most_parts, 0));
+        reader.each("recent_changes", [&](const auto& element, const auto&) {
+            if (element.is_string()) {
+                head.recent_changes.push_back(element.template get<std::string>());
+            }
+        });
+        return head;
     });
-    if (!faults.empty()) {
-        reason = faults.front();
-        return std::nullopt;
-    }
-    return head;
 }
 
 } // namespace knapweedchute
--- a/src/config/operators_file.cpp
+++ b/src/config/operators_file.cpp
@@ -11,10 +11,15 @@
     return found == services.end() ? nullptr : &*found;
 }
 
-auto operators_file::zone_out(std::string_view name) const noexcept -> bool
+auto operators_file::zones_out() const -> std::set<std::string>
 {
-    return std::any_of(availability_zones.begin(), availability_zones.end(),
-                       [&](const auto& zone) { return zone.name == name && zone.out; });
+    auto names = std::set<std::string>{};
+    for (const auto& zone : availability_zones) {
+        if (zone.out) {
+            names.insert(zone.name);
+        }
+    }
+    return names;
 }
 
 } // namespace knapweedchute
--- a/src/membership/member_state.cpp
+++ b/src/membership/member_state.cpp
@@ -5,6 +5,8 @@
 auto to_string(member_state state) noexcept -> std::string_view
 {
     switch (state) {
+    case member_state::joining:
+        return "joining";
     case member_state::alive:
         return "alive";
     case member_state::leaving:
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -88,7 +88,7 @@
     proof_age_ms_ = proof_age_ms;
 }
 
-auto membership::tell_evidence(std::vector<evidence_row> rows) -> std::vector<outgoing>
+auto membership::tell_evidence(const std::vector<evidence_row>& rows) -> std::vector<outgoing>
 {
     auto messages = std::vector<outgoing>{};
     for (const auto& peer : random_members(options_.rumour_fanout, false)) {
--- a/src/move/evidence_row.cpp
+++ b/src/move/evidence_row.cpp
@@ -1,10 +1,10 @@
 #include <knapweedchute/move/evidence_row.hpp>
 
-#include <string>
 #include <xxhash.h>
 
-namespace knapweedchute
-{
+#include <string>
+
+namespace knapweedchute {
 
 auto key_of_move(const service_spec& service) -> move_key
 {
--- a/src/move/move_evidence.cpp
+++ b/src/move/move_evidence.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-namespace knapweedchute
-{
+namespace knapweedchute {
 
 auto move_evidence::merge(const evidence_row& row) -> void
 {
--- a/src/move/move_judge.cpp
+++ b/src/move/move_judge.cpp
@@ -4,10 +4,8 @@
 #include <cmath>
 #include <utility>
 
-namespace knapweedchute
-{
-namespace
-{
+namespace knapweedchute {
+namespace {
 
 constexpr auto fewest_failures = std::uint64_t{5};
 constexpr auto fewest_old_queries = std::uint64_t{20};
--- a/src/move/move_plan.cpp
+++ b/src/move/move_plan.cpp
@@ -1,13 +1,10 @@
-#include <knapweedchute/move/move_plan.hpp>
-
 #include <knapweedchute/move/move_judge.hpp>
+#include <knapweedchute/move/move_plan.hpp>
 
 #include <algorithm>
 
-namespace knapweedchute
-{
-namespace
-{
+namespace knapweedchute {
+namespace {
 
 constexpr auto queries_per_step = std::uint64_t{50};
 constexpr auto queries_of_proof = std::uint64_t{1'000};
@@ -21,9 +18,8 @@
         return {view.recorded == move_result::finished ? whole : 0, move_result::running,
                 move_fault::none};
     }
-    const auto fault = view.latched != move_fault::none
-                           ? view.latched
-                           : judge(view.old_version, view.new_version);
+    const auto fault =
+        view.latched != move_fault::none ? view.latched : judge(view.old_version, view.new_version);
     if (fault != move_fault::none) {
         return {0, move_result::taken_back, fault};
     }
--- a/src/platform/http_key_value_store.cpp
+++ b/src/platform/http_key_value_store.cpp
@@ -13,21 +13,13 @@
 
 auto decode_value(const std::string& body, error& reason) -> std::optional<stored_value>
 {
-    const auto json = parse_json(body, reason);
-    if (!json) {
-        return std::nullopt;
-    }
-    auto faults = fault_list{};
-    auto reader = object_reader{*json, "", faults};
-    auto value = stored_value{};
-    value.revision = static_cast<std::uint64_t>(
-        reader.integer("revision", 0, std::numeric_limits<std::int64_t>::max()));
-    value.value = reader.text_or("value", {});
-    if (!faults.empty()) {
-        reason = faults.front();
-        return std::nullopt;
-    }
-    return value;
+    return decode_object(body, reason, [](auto& reader) {
+        auto value = stored_value{};
+        value.revision = static_cast<std::uint64_t>(
+            reader.integer("revision", 0, std::numeric_limits<std::int64_t>::max()));
+        value.value = reader.text_or("value", {});
+        return value;
+    });
 }
 
 } // namespace
--- a/src/query/caller_codec.cpp
+++ b/src/query/caller_codec.cpp
@@ -40,51 +40,35 @@
     return id;
 }
 
-auto first_fault(const fault_list& faults, error& reason) -> bool
-{
-    if (!faults.empty()) {
-        reason = faults.front();
-    }
-    return !faults.empty();
-}
-
 } // namespace
 
 auto decode_search_call(std::string_view body, error& reason) -> std::optional<search_call>
 {
-    const auto json = parse_json(body, reason);
-    if (!json) {
-        return std::nullopt;
-    }
-    auto faults = fault_list{};
-    auto reader = object_reader{*json, "", faults};
-    auto call = search_call{};
-    call.request_id = read_request_id(reader);
-    call.service = reader.text("service");
-    call.text = reader.text_or("text", {});
-    call.top = static_cast<std::uint32_t>(reader.integer_or("top", 1, most_hits, default_hits));
-    call.deadline_ms = read_deadline(reader);
-    call.worth = reader.integer_or("worth", 0, largest_worth, 1);
-    reader.finish();
-    return first_fault(faults, reason) ? std::nullopt : std::optional{std::move(call)};
+    return decode_object(body, reason, [](auto& reader) {
+        auto call = search_call{};
+        call.request_id = read_request_id(reader);
+        call.service = reader.text("service");
+        call.text = reader.text_or("text", {});
+        call.top = static_cast<std::uint32_t>(reader.integer_or("top", 1, most_hits, default_hits));
+        call.deadline_ms = read_deadline(reader);
+        call.worth = reader.integer_or("worth", 0, largest_worth, 1);
+        reader.finish();
+        return call;
+    });
 }
 
 auto decode_run_call(std::string_view body, error& reason) -> std::optional<run_call>
 {
-    const auto json = parse_json(body, reason);
-    if (!json) {
-        return std::nullopt;
-    }
-    auto faults = fault_list{};
-    auto reader = object_reader{*json, "", faults};
-    auto call = run_call{};
-    call.request_id = read_request_id(reader);
-    call.service = reader.text("service");
-    call.key = reader.text("key");
-    call.document = reader.text("document");
-    call.deadline_ms = read_deadline(reader);
-    reader.finish();
-    return first_fault(faults, reason) ? std::nullopt : std::optional{std::move(call)};
+    return decode_object(body, reason, [](auto& reader) {
+        auto call = run_call{};
+        call.request_id = read_request_id(reader);
+        call.service = reader.text("service");
+        call.key = reader.text("key");
+        call.document = reader.text("document");
+        call.deadline_ms = read_deadline(reader);
+        reader.finish();
+        return call;
+    });
 }
 
 auto encode_answer(const std::string& request_id, const query_answer& answer) -> std::string
--- a/src/query/query_dispatch.cpp
+++ b/src/query/query_dispatch.cpp
@@ -1,4 +1,4 @@
-// Second half of query_coordinator: sending, retrying and finishing.
+// The part of query_coordinator that sends, retries, restarts and cancels.
 #include <knapweedchute/query/query_coordinator.hpp>
 
 #include <algorithm>
@@ -13,7 +13,6 @@
 constexpr auto shortest_attempt_limit = milliseconds{250};
 constexpr auto medians_in_attempt_limit = std::int64_t{50};
 constexpr auto restart_share_of_time = std::int64_t{4};
-constexpr auto slow_medians = std::int64_t{3};
 
 /// Whether a retry after this failure adds no work that a target has done.
 auto retry_is_free(attempt_failure failure) -> bool
@@ -350,79 +349,10 @@
     }
 }
 
-auto query_coordinator::finish_if_done(query_key key, time_point now, action_list& actions) -> void
-{
-    const auto found = queries_.find(key);
-    if (found == queries_.end()) {
-        return;
-    }
-    const auto& progress = found->second;
-    if (progress.answered + progress.missing >= progress.wanted) {
-        finish(found, false, now, actions);
-    }
-}
-
-auto query_coordinator::finish(query_map::iterator found, bool at_deadline, time_point now,
-                               action_list& actions) -> void
-{
-    const auto key = found->first;
-    auto& progress = found->second;
-    auto answer = query_answer{progress.version,
-                               progress.map->snapshot,
-                               static_cast<std::uint32_t>(progress.parts.size()),
-                               progress.answered,
-                               {},
-                               {}};
-    for (auto shard = std::uint32_t{0}; shard < progress.parts.size(); ++shard) {
-        cancel_live(progress.parts[shard], now, actions);
-        if (progress.parts[shard].state != part_state::answered) {
-            answer.missing.push_back(shard);
-        }
-    }
-    const auto permil = std::uint64_t{1'000} * answer.answered / std::max(answer.shards, 1U);
-    const auto too_little = answer.answered == 0 ||
-                            (!progress.forwarded &&
-                             permil < static_cast<std::uint64_t>(service_.minimum_coverage_permil));
-    tally(progress, now);
-    if (too_little && !progress.forwarded) {
-        const auto code =
-            at_deadline ? error_code::deadline_exceeded : error_code::coverage_too_low;
-        const auto ran = answer.answered > 0 ? outcome::ran : outcome::unknown;
-        const auto reason = error{code, progress.request.service,
-                                  std::to_string(answer.answered) + " of " +
-                                      std::to_string(answer.shards) + " shards answered"};
-        actions.emplace_back(refuse_query{key, {reason, progress.sent ? ran : outcome::not_run}});
-        queries_.erase(found);
-        return;
-    }
-    answer.hits = std::move(progress.hits);
-    const auto kept = std::min<std::size_t>(answer.hits.size(), progress.request.top);
-    const auto end = answer.hits.begin() + static_cast<std::ptrdiff_t>(kept);
-    std::partial_sort(answer.hits.begin(), end, answer.hits.end(), ranks_before);
-    answer.hits.resize(kept);
-    queries_.erase(found);
-    actions.emplace_back(answer_query{key, std::move(answer)});
-}
-
 auto query_coordinator::attempt_limit() const -> duration
 {
     const auto median = hedges_.latencies().median();
     return std::max<duration>(shortest_attempt_limit, median * medians_in_attempt_limit);
 }
 
-auto query_coordinator::tally(const impl::query_progress& progress, time_point now) -> void
-{
-    if (progress.forwarded || !progress.sent) {
-        return;
-    }
-    auto& counts = tallies_[progress.version];
-    const auto complete = progress.answered == progress.wanted;
-    const auto usual = hedges_.latencies().usual_median();
-    const auto slow = usual != duration::zero() && now - progress.started > usual * slow_medians;
-    counts.queries += 1;
-    counts.incomplete += complete ? 0 : 1;
-    counts.empty += complete && progress.hits.empty() ? 1 : 0;
-    counts.slow += slow ? 1 : 0;
-}
-
 } // namespace knapweedchute
--- a/src/query/target_codec.cpp
+++ b/src/query/target_codec.cpp
@@ -70,25 +70,18 @@
 
 auto decode_target_report(std::string_view body, error& reason) -> std::optional<target_report>
 {
-    const auto json = parse_json(body, reason);
-    if (!json) {
-        return std::nullopt;
-    }
-    auto faults = fault_list{};
-    auto reader = object_reader{*json, "", faults};
-    auto report = target_report{};
-    report.incarnation = static_cast<std::uint64_t>(reader.integer("incarnation", 0, any_number));
-    report.uptime = milliseconds{reader.integer("uptime_ms", 0, any_number / 1'000'000)};
-    report.leaving = reader.flag_or("leaving", false);
-    reader.each("serving", [&](const auto& element, const auto& path) {
-        auto item = object_reader{element, path, faults};
-        report.serving.push_back(read_place(item));
+    return decode_object(body, reason, [](auto& reader) {
+        auto report = target_report{};
+        report.incarnation =
+            static_cast<std::uint64_t>(reader.integer("incarnation", 0, any_number));
+        report.uptime = milliseconds{reader.integer("uptime_ms", 0, any_number / 1'000'000)};
+        report.leaving = reader.flag_or("leaving", false);
+        reader.each("serving", [&](const auto& element, const auto& path) {
+            auto item = reader.nested(element, path);
+            report.serving.push_back(read_place(item));
+        });
+        return report;
     });
-    if (!faults.empty()) {
-        reason = faults.front();
-        return std::nullopt;
-    }
-    return report;
 }
 
 auto decode_target_refusal(std::string_view body) -> attempt_failure
--- a/src/runtime/admin_api.cpp
+++ b/src/runtime/admin_api.cpp
@@ -116,21 +116,17 @@
 auto admin_api::offer(const http_call& call) -> http_reply
 {
     auto reason = error{};
-    const auto json = parse_json(call.body, reason);
-    if (!json) {
-        return refuse(reason);
-    }
-    auto faults = fault_list{};
-    auto reader = object_reader{*json, "", faults};
-    const auto version = static_cast<std::uint64_t>(
-        reader.integer("version", 1, std::numeric_limits<std::int64_t>::max()));
-    auto change = reader.text("change");
-    auto text = reader.text("text");
-    reader.finish();
-    if (!faults.empty()) {
-        return refuse(faults.front());
-    }
-    auto offered = decode_configuration(version, std::move(change), std::move(text), reason);
+    const auto head = decode_object(call.body, reason, [](auto& reader) {
+        constexpr auto any_version = std::numeric_limits<std::int64_t>::max();
+        auto offered = configuration{};
+        offered.version = static_cast<std::uint64_t>(reader.integer("version", 1, any_version));
+        offered.change = reader.text("change");
+        offered.text = reader.text("text");
+        reader.finish();
+        return offered;
+    });
+    auto offered =
+        head ? decode_configuration(head->version, head->change, head->text, reason) : std::nullopt;
     if (!offered) {
         return refuse(reason);
     }
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -67,14 +67,8 @@
 
 auto caller_api::addresses(const http_call& call, const http_server::responder& respond) -> void
 {
-    auto zones_out = std::set<std::string>{};
-    if (const auto accepted = holder_->current(); accepted) {
-        for (const auto& zone : accepted->file.availability_zones) {
-            if (zone.out) {
-                zones_out.insert(zone.name);
-            }
-        }
-    }
+    const auto accepted = holder_->current();
+    const auto zones_out = accepted ? accepted->file.zones_out() : std::set<std::string>{};
     const auto near = call.arguments.find("availability_zone");
     const auto near_zone = near == call.arguments.end() ? std::string{} : near->second;
     auto chosen = std::vector<member>{};
--- a/src/runtime/datagram_socket.cpp
+++ b/src/runtime/datagram_socket.cpp
@@ -1,4 +1,5 @@
 #include <knapweedchute/runtime/datagram_socket.hpp>
+#include <knapweedchute/runtime/socket_address.hpp>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -12,10 +13,7 @@
 datagram_socket::datagram_socket(const address& where)
 {
     auto socket = file_descriptor{::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
-    auto own = sockaddr_in{};
-    own.sin_family = AF_INET;
-    own.sin_port = htons(where.port);
-    own.sin_addr.s_addr = htonl(where.ip);
+    const auto own = impl::socket_address(where);
     if (bind(socket.value(), reinterpret_cast<const sockaddr*>(&own), sizeof(own)) == 0) {
         socket_ = std::move(socket);
     }
@@ -23,10 +21,7 @@
 
 auto datagram_socket::send(const address& to, const std::string& content) -> bool
 {
-    auto target = sockaddr_in{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(to.port);
-    target.sin_addr.s_addr = htonl(to.ip);
+    const auto target = impl::socket_address(to);
     const auto sent = sendto(socket_.value(), content.data(), content.size(), 0,
                              reinterpret_cast<const sockaddr*>(&target), sizeof(target));
     return sent == static_cast<ssize_t>(content.size());
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -1,4 +1,5 @@
 #include <knapweedchute/runtime/http_server.hpp>
+#include <knapweedchute/runtime/socket_address.hpp>
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -66,10 +67,7 @@
     state(const address& where, http_server_options options, handler handle, fault_handler refuse)
         : options_{options}, handle_{std::move(handle)}, refuse_{std::move(refuse)}
     {
-        auto socket_address = sockaddr_in{};
-        socket_address.sin_family = AF_INET;
-        socket_address.sin_port = htons(where.port);
-        socket_address.sin_addr.s_addr = htonl(where.ip);
+        const auto socket_address = impl::socket_address(where);
         daemon_ = MHD_start_daemon(
             MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, where.port,
             nullptr, nullptr, &state::on_request, this, MHD_OPTION_SOCK_ADDR, &socket_address,
--- a/src/runtime/move_agent.cpp
+++ b/src/runtime/move_agent.cpp
@@ -1,11 +1,9 @@
-#include <knapweedchute/runtime/move_agent.hpp>
-
 #include <knapweedchute/config/object_reader.hpp>
+#include <knapweedchute/runtime/move_agent.hpp>
 
 #include <utility>
 
-namespace knapweedchute
-{
+namespace knapweedchute {
 
 auto report_key(move_key move) -> std::string
 {
--- a/src/runtime/peer_agent.cpp
+++ b/src/runtime/peer_agent.cpp
@@ -20,7 +20,7 @@
 {
     return {values.instance,       values.availability_zone, values.peer_address,
             values.caller_address, values.admin_address,     incarnation,
-            member_state::alive};
+            member_state::joining};
 }
 
 auto options_of(const settings& values) -> membership_options
@@ -157,14 +157,14 @@
         return;
     }
     next_evidence_ = now + evidence_interval;
-    auto rows = told_(most_evidence_rows);
+    const auto rows = told_(most_evidence_rows);
     if (rows.empty()) {
         return;
     }
     auto messages = std::vector<outgoing>{};
     {
         const auto lock = std::lock_guard{mutex_};
-        messages = membership_.tell_evidence(std::move(rows));
+        messages = membership_.tell_evidence(rows);
     }
     send(messages);
 }
--- a/src/runtime/peer_server.cpp
+++ b/src/runtime/peer_server.cpp
@@ -1,4 +1,5 @@
 #include <knapweedchute/runtime/peer_server.hpp>
+#include <knapweedchute/runtime/socket_address.hpp>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -21,10 +22,7 @@
     auto socket = file_descriptor{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
     const auto one = 1;
     setsockopt(socket.value(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    auto own = sockaddr_in{};
-    own.sin_family = AF_INET;
-    own.sin_port = htons(where.port);
-    own.sin_addr.s_addr = htonl(where.ip);
+    const auto own = impl::socket_address(where);
     const auto bound =
         bind(socket.value(), reinterpret_cast<const sockaddr*>(&own), sizeof(own)) == 0 &&
         listen(socket.value(), backlog) == 0;
--- a/src/runtime/peer_stream.cpp
+++ b/src/runtime/peer_stream.cpp
@@ -1,5 +1,6 @@
 #include <knapweedchute/runtime/peer_call.hpp>
 #include <knapweedchute/runtime/peer_stream.hpp>
+#include <knapweedchute/runtime/socket_address.hpp>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -35,10 +36,7 @@
     auto socket = file_descriptor{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
     const auto one = 1;
     setsockopt(socket.value(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-    auto target = sockaddr_in{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(peer.port);
-    target.sin_addr.s_addr = htonl(peer.ip);
+    const auto target = impl::socket_address(peer);
     const auto result =
         ::connect(socket.value(), reinterpret_cast<const sockaddr*>(&target), sizeof(target));
     if (result != 0 && errno != EINPROGRESS) {
--- a/src/runtime/query_engine.cpp
+++ b/src/runtime/query_engine.cpp
@@ -15,12 +15,6 @@
 auto view_of(const configuration& accepted, const service_spec& service,
              const std::string& instance, const std::vector<member>& members) -> service_view
 {
-    auto zones_out = std::set<std::string>{};
-    for (const auto& zone : accepted.file.availability_zones) {
-        if (zone.out) {
-            zones_out.insert(zone.name);
-        }
-    }
     auto holders = std::vector<std::string>{};
     auto serving = std::set<std::string>{};
     for (const auto& known : members) {
@@ -32,7 +26,7 @@
             serving.insert(known.instance);
         }
     }
-    return {service, std::move(zones_out), instance, std::move(serving),
+    return {service, accepted.file.zones_out(), instance, std::move(serving),
             ownership{std::move(holders)}};
 }
 
--- a/src/runtime/query_instance.cpp
+++ b/src/runtime/query_instance.cpp
@@ -12,7 +12,9 @@
 
 constexpr auto largest_admin_body = std::size_t{17'000'000};
 constexpr auto wait_step = milliseconds{20};
-constexpr auto move_interval = milliseconds{100};
+constexpr auto periodic_interval = milliseconds{100};
+constexpr auto target_knowledge = milliseconds{1'000};
+constexpr auto leaving_spread = milliseconds{1'000};
 constexpr auto farewell = milliseconds{200};
 constexpr auto search_grace = milliseconds{50};
 const auto log_line = logger{"instance"};
@@ -53,8 +55,8 @@
 query_instance::~query_instance()
 {
     ending_ = true;
-    if (move_thread_.joinable()) {
-        move_thread_.join();
+    if (periodic_thread_.joinable()) {
+        periodic_thread_.join();
     }
     caller_server_.reset();
     admin_server_.reset();
@@ -94,7 +96,7 @@
     forwarder_.start(peers_);
     peers_.start([this](const auto& rows) { moves_.merge(rows); },
                  [this](auto count) { return moves_.next_rows(count); });
-    move_thread_ = std::thread{[this] { move_loop(); }};
+    periodic_thread_ = std::thread{[this] { periodic_loop(); }};
     store_.start();
     log_line.info("Started.", {{"instance", settings_.instance},
                                {"callers", to_string(settings_.caller_address)}});
@@ -108,7 +110,8 @@
     }
     log_line.info("Leaving.", {{"instance", settings_.instance}});
     peers_.announce(member_state::leaving);
-    wait_while_serving(settings_.address_lifetime);
+    // Peers hand the address out until they have heard, callers keep it for its lifetime.
+    wait_while_serving(leaving_spread + settings_.address_lifetime);
     caller_api_.close_connections();
     wait_while_serving(farewell);
     caller_server_->stop_listening();
@@ -131,12 +134,27 @@
     engine_.configure(*accepted, peers_.members());
 }
 
-auto query_instance::move_loop() -> void
+auto query_instance::periodic_loop() -> void
 {
     while (!ending_) {
         const auto now = std::chrono::system_clock::now().time_since_epoch();
         moves_.advance(std::chrono::duration_cast<seconds>(now).count());
-        std::this_thread::sleep_for(move_interval);
+        announce_when_ready();
+        std::this_thread::sleep_for(periodic_interval);
+    }
+}
+
+auto query_instance::announce_when_ready() -> void
+{
+    const auto now = steady_clock::now();
+    const auto fresh = holder_.version() != 0 && holder_.fresh_until() >= now;
+    if (stopped_ || !fresh || peers_.self().state != member_state::joining) {
+        return;
+    }
+    first_fresh_ = first_fresh_.value_or(now);
+    if (now - *first_fresh_ >= request_policy{}.share_hold + target_knowledge) {
+        peers_.announce(member_state::alive);
+        log_line.info("Serving callers.", {{"instance", settings_.instance}});
     }
 }
 
--- a/tests/scenarios/graceful_stop.lua
+++ b/tests/scenarios/graceful_stop.lua
@@ -1,22 +1,21 @@
--- Every instance is replaced under load and no request is cut.
-for shard = 0, 1 do
-    target{zone = "a", shards = 2, shard = shard}
-    target{zone = "b", shards = 2, shard = shard}
-end
-entry("e1", "a")
-entry("e2", "b")
-entry("e3", "c")
-local all = {"e1", "e2", "e3"}
-expect(apply(0) == 1, "the first file is version 1")
-in_force_at(all, 1)
-ready(all)
+-- Every instance is replaced, one after the other, under load, and no request is cut.
+local all = standard_start()
 
-start_load({"e1", "e2"})
-entry("e4", "a")
-ready({"e4"})
-stop("e1")
+start_load(all)
+for index, old in ipairs({"e1", "e2", "e3"}) do
+    local new = "n" .. index
+    entry(new, "new" .. index)
+    wait_until(new .. " is given to callers", function()
+        for _, item in ipairs(addresses(new).addresses) do
+            if item.availability_zone == "new" .. index then return true end
+        end
+    end, 20000)
+    stop(old)
+end
 local seen = stop_load()
-expect(seen.cut == 0, "no request cut by the stop")
+expect(seen.whole > 100, "requests were served")
+expect(seen.cut == 0, "no request cut by a stop")
+expect(seen.unreachable == 0, "every address answer held as long as it was valid")
 expect(seen.refused == 0, "no request refused")
 expect(seen.violations == 0, "every answer true")
-wait_until("e2 knows that e1 left", function() return members("e2") == 3 end, 10000)
+wait_until("n1 knows that the old ones left", function() return members("n1") == 3 end, 10000)
--- a/tests/scenarios/move_bad.lua
+++ b/tests/scenarios/move_bad.lua
@@ -1,19 +1,5 @@
 -- A version that fails fast is stopped at once, also with the platform down, and reported once.
-for shard = 0, 1 do
-    target{zone = "a", shards = 2, shard = shard}
-    target{zone = "b", shards = 2, shard = shard}
-end
-for shard = 0, 1 do
-    target{version = "v2", zone = "a", shards = 2, shard = shard}
-    target{version = "v2", zone = "b", shards = 2, shard = shard}
-end
-entry("e1", "a")
-entry("e2", "b")
-entry("e3", "c")
-local all = {"e1", "e2", "e3"}
-expect(apply(0) == 1, "the first file is version 1")
-in_force_at(all, 1)
-ready(all)
+local all = standard_start("v2")
 start_load(all)
 
 for index = 4, 7 do target_is(index, "failing", true) end
--- a/tests/scenarios/racing_operators.lua
+++ b/tests/scenarios/racing_operators.lua
@@ -1,15 +1,5 @@
 -- Five operators race; one change is accepted per base and all instances agree.
-for shard = 0, 1 do
-    target{zone = "a", shards = 2, shard = shard}
-    target{zone = "b", shards = 2, shard = shard}
-end
-entry("e1", "a")
-entry("e2", "b")
-entry("e3", "c")
-local all = {"e1", "e2", "e3"}
-expect(apply(0) == 1, "the first file is version 1")
-in_force_at(all, 1)
-ready(all)
+local all = standard_start()
 
 local accepted = 0
 for round = 1, 5 do
--- a/tests/support/scenario_runner.cpp
+++ b/tests/support/scenario_runner.cpp
@@ -35,7 +35,7 @@
 auto text_field(lua_State* lua, int table, const char* key, const char* fallback) -> std::string
 {
     lua_getfield(lua, table, key);
-    const auto value = std::string{lua_isnil(lua, -1) ? fallback : lua_tostring(lua, -1)};
+    auto value = std::string{lua_isnil(lua, -1) ? fallback : lua_tostring(lua, -1)};
     lua_pop(lua, 1);
     return value;
 }
@@ -291,6 +291,7 @@
     push_number(lua, "partial", view.partial);
     push_number(lua, "refused", view.refused);
     push_number(lua, "cut", view.cut);
+    push_number(lua, "unreachable", view.unreachable);
     push_number(lua, "violations", view.violations);
     return 1;
 }
@@ -319,12 +320,20 @@
     return 0;
 }
 
+auto lua_now_ms(lua_State* lua) -> int
+{
+    const auto now = steady_clock::now().time_since_epoch();
+    lua_pushinteger(lua, std::chrono::duration_cast<milliseconds>(now).count());
+    return 1;
+}
+
 constexpr auto prelude = R"lua(
 function wait_until(what, condition, limit_ms)
-    for _ = 1, (limit_ms or 5000) / 10 do
+    local last = now_ms() + (limit_ms or 5000)
+    repeat
         if condition() then return end
         pause(10)
-    end
+    until now_ms() > last
     error("not within " .. (limit_ms or 5000) .. " ms: " .. what, 2)
 end
 function expect(value, what)
@@ -345,6 +354,20 @@
             function() return in_force(entry) >= version end, limit_ms)
     end
 end
+function standard_start(next_version)
+    for _, name in ipairs({"v1", next_version}) do
+        for shard = 0, 1 do
+            target{version = name, zone = "a", shards = 2, shard = shard}
+            target{version = name, zone = "b", shards = 2, shard = shard}
+        end
+    end
+    local all = {"e1", "e2", "e3"}
+    for index, zone in ipairs({"a", "b", "c"}) do entry(all[index], zone) end
+    expect(apply(0) == 1, "the first file is version 1")
+    in_force_at(all, 1)
+    ready(all)
+    return all
+end
 )lua";
 
 auto register_all(lua_State* lua, scenario_world& world) -> void
@@ -375,6 +398,7 @@
         {"stop_load", lua_stop_load},
         {"platform", lua_platform},
         {"pause", lua_pause},
+        {"now_ms", lua_now_ms},
     };
     for (const auto& function : functions) {
         lua_pushlightuserdata(lua, &world);
--- a/tests/support/scenario_world.cpp
+++ b/tests/support/scenario_world.cpp
@@ -14,10 +14,22 @@
 constexpr auto entry_port = std::uint16_t{21'010};
 constexpr auto call_timeout = milliseconds{3'000};
 constexpr auto load_threads = std::size_t{4};
+constexpr auto default_lifetime_ms = 300;
 constexpr auto load_pause = milliseconds{2};
 constexpr auto status_ok = 200L;
 const auto operator_key = std::string{"operator-key-012345"};
 
+auto view_of(const std::optional<http_response>& response) -> caller_view
+{
+    auto view = caller_view{};
+    if (response) {
+        auto reason = error{};
+        view.status = response->status;
+        view.body = parse_json(response->body, reason).value_or(nlohmann::json::object());
+    }
+    return view;
+}
+
 auto text_of(const address& where) -> std::string
 {
     return to_string(where);
@@ -165,12 +177,7 @@
     const auto& where = entries_.at(entry).values.caller_address;
     const auto response = client.perform(
         {"POST", "http://" + text_of(where) + path, body.dump(), {}, call_timeout}, reason);
-    auto view = caller_view{};
-    if (response) {
-        view.status = response->status;
-        view.body = parse_json(response->body, reason).value_or(nlohmann::json::object());
-    }
-    return view;
+    return view_of(response);
 }
 
 auto scenario_world::addresses(const std::string& entry) -> caller_view
@@ -180,12 +187,7 @@
     const auto& where = entries_.at(entry).values.caller_address;
     const auto response = client.perform(
         {"GET", "http://" + text_of(where) + "/v1/addresses", {}, {}, call_timeout}, reason);
-    auto view = caller_view{};
-    if (response) {
-        view.status = response->status;
-        view.body = parse_json(response->body, reason).value_or(nlohmann::json::object());
-    }
-    return view;
+    return view_of(response);
 }
 
 auto scenario_world::start_load(const std::vector<std::string>& entries) -> void
@@ -246,37 +248,56 @@
 
 auto scenario_world::load_loop(const std::vector<std::string>& entries, std::size_t number) -> void
 {
-    // Like a caller that keeps its connection and its address while the answer is valid.
+    // Like a caller that keeps an address answer for as long as it is valid.
     auto client = http_client{};
-    auto targets = std::vector<std::string>{};
+    auto known = std::vector<std::string>{};
     for (const auto& entry : entries) {
-        targets.push_back(text_of(entries_.at(entry).values.caller_address));
+        known.push_back(text_of(entries_.at(entry).values.caller_address));
     }
-    auto serial = std::uint64_t{0};
-    while (loading_) {
-        ++serial;
-        const auto& where = targets[(number + serial) % targets.size()];
+    auto valid_until = time_point{};
+    for (auto serial = std::uint64_t{1}; loading_; ++serial) {
+        if (steady_clock::now() >= valid_until) {
+            const auto asked = steady_clock::now();
+            auto fresh = ask_addresses(known[serial % known.size()]);
+            known = fresh.empty() ? known : std::move(fresh);
+            valid_until = asked + milliseconds{default_lifetime_ms};
+        }
+        const auto& where = known[(number + serial) % known.size()];
         const auto body =
             nlohmann::json{{"request_id", std::to_string(number) + "-" + std::to_string(serial)},
                            {"service", "s"},
                            {"text", "slope closed"},
                            {"deadline_ms", 1'000}};
         auto reason = error{};
+        const auto sent = steady_clock::now();
         const auto response = client.perform(
             {"POST", "http://" + where + "/v1/query", body.dump(), {}, call_timeout}, reason);
-        auto view = caller_view{};
-        if (response) {
-            view.status = response->status;
-            view.body = parse_json(response->body, reason).value_or(nlohmann::json::object());
-        }
         const auto unreachable = !response && reason.code == error_code::store_unavailable;
-        if (!unreachable) {
-            judge(view);
+        if (unreachable) {
+            const auto lock = std::lock_guard{load_mutex_};
+            load_.unreachable += sent < valid_until ? 1 : 0;
+        } else {
+            judge(view_of(response));
         }
         std::this_thread::sleep_for(load_pause);
     }
 }
 
+auto scenario_world::ask_addresses(const std::string& where) -> std::vector<std::string>
+{
+    auto client = http_client{};
+    auto reason = error{};
+    const auto view = view_of(
+        client.perform({"GET", "http://" + where + "/v1/addresses", {}, {}, call_timeout}, reason));
+    auto list = std::vector<std::string>{};
+    if (view.body.is_object() && view.body.contains("addresses")) {
+        for (const auto& item : view.body.at("addresses")) {
+            list.push_back(item.at("address"));
+        }
+    }
+    return list;
+}
+
 auto scenario_world::judge(const caller_view& view) -> void
 {
     const auto lock = std::lock_guard{load_mutex_};
--- a/tests/support/scenario_world.hpp
+++ b/tests/support/scenario_world.hpp
@@ -32,8 +32,9 @@
     std::uint64_t whole = 0;
     std::uint64_t partial = 0;
     std::uint64_t refused = 0;
-    std::uint64_t cut = 0;        ///< No whole response although the connection was made.
-    std::uint64_t violations = 0; ///< Hits of another snapshot or coverage that does not add up.
+    std::uint64_t cut = 0;         ///< No whole response although the connection was made.
+    std::uint64_t unreachable = 0; ///< No connection to an address whose answer was still valid.
+    std::uint64_t violations = 0;  ///< Hits of another snapshot or coverage that does not add up.
 };
 
 /// \brief Everything that a scenario acts on: stand-ins, instances, gates, a load.
@@ -102,6 +103,7 @@
 
     [[nodiscard]] auto file_text() const -> std::string;
     auto load_loop(const std::vector<std::string>& entries, std::size_t number) -> void;
+    [[nodiscard]] static auto ask_addresses(const std::string& where) -> std::vector<std::string>;
     auto judge(const caller_view& view) -> void;
 
     std::unique_ptr<platform_stand_in> platform_;
--- a/tests/support/target_stand_in.cpp
+++ b/tests/support/target_stand_in.cpp
@@ -151,6 +151,7 @@
             nlohmann::json{{"incarnation", incarnation_},
                            {"uptime_ms", uptime.count()},
                            {"leaving", leaving_.load()},
+                           {"parts_served", parts_.load()},
                            {"serving", serving}}
                 .dump(),
             "application/json", false};
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -29,7 +29,8 @@
     {
         for (auto index = std::size_t{0}; index < count; ++index) {
             const auto number = static_cast<std::uint16_t>(nodes.size() + 1);
-            const auto self = member{"n" + std::to_string(number), "z", {1, number}, {}, {}, 1, {}};
+            const auto self = member{"n" + std::to_string(number), "z", {1, number}, {}, {}, 1,
+                                     member_state::alive};
             nodes.push_back(std::make_unique<membership>(self, std::vector<address>{{1, 1}},
                                                          membership_options{}, number));
         }
--- a/tests/unit/move_test.cpp
+++ b/tests/unit/move_test.cpp
@@ -4,13 +4,13 @@
 #include <knapweedchute/query/version_split.hpp>
 
 #include <boost/test/unit_test.hpp>
-#include <random>
 #include <rapidcheck/boost_test.h>
 
+#include <random>
+
 using namespace knapweedchute;
 
-namespace
-{
+namespace {
 
 constexpr auto move = move_key{1};
 
@@ -25,7 +25,7 @@
         view.unix_s = 500;
     }
 
-    auto decide() const -> move_decision { return decide_move(spec, view); }
+    [[nodiscard]] auto decide() const -> move_decision { return decide_move(spec, view); }
 };
 
 /// Sends queries through a move with given failure shares until it ends.
