--- a/include/knapweedchute/runtime/socket_address.hpp
+++ b/include/knapweedchute/runtime/socket_address.hpp
@@ -5,8 +5,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
-namespace knapweedchute::impl
-{
+namespace knapweedchute::impl {
 
 /// \brief The system's form of an address.
 [[nodiscard]] inline auto socket_address(const address& value) noexcept -> sockaddr_in
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -8,7 +8,7 @@
 namespace knapweedchute {
 namespace {
 
-constexpr auto retransmission_factor = std::size_t{3};
+constexpr auto retransmission_factor = std::size_t{1};
 constexpr auto most_relayed = std::size_t{64};
 
 } // namespace
--- a/src/query/query_finish.cpp
+++ b/src/query/query_finish.cpp
@@ -4,13 +4,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace knapweedchute
-{
+namespace knapweedchute {
 
 using impl::part_state;
 
-namespace
-{
+namespace {
 
 constexpr auto slow_medians = std::int64_t{3};
 
