knapweedctl move follow

Cause: operators could start and abort a move, but not follow it. Change: shares per instance and the stored final report; two unused parameters removed.

--- a/daemons/ctl/commands.cpp
+++ b/daemons/ctl/commands.cpp
@@ -2,6 +2,8 @@
 
 #include "operator_client.hpp"
 
+#include <knapweedchute/config/object_reader.hpp>
+
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -143,6 +145,28 @@
     });
 }
 
+auto follow_move(const command_options& options, const std::string& service) -> exit_code
+{
+    auto client = operator_client{options};
+    auto reason = error{};
+    const auto report = client.move_report_text(service, reason);
+    if (!report) {
+        std::cerr << to_string(reason) << '\n';
+        return reason.code == error_code::not_found ? exit_code::bad_input : exit_code::unavailable;
+    }
+    for (const auto& where : options.admins) {
+        const auto response =
+            client.ask({"GET", "http://" + where + "/v1/dump", {}, {}, dump_timeout});
+        const auto json = response ? parse_json(response->body, reason) : std::nullopt;
+        if (json && json->contains("moves") && json->at("moves").contains(service)) {
+            std::cout << json->at("instance").get<std::string>() << ": "
+                      << json->at("moves").at(service).dump() << '\n';
+        }
+    }
+    std::cout << (report->empty() ? "no final report yet" : *report) << '\n';
+    return exit_code::success;
+}
+
 auto show_dump(const command_options& options) -> exit_code
 {
     auto client = operator_client{options};
--- a/daemons/ctl/commands.hpp
+++ b/daemons/ctl/commands.hpp
@@ -40,6 +40,8 @@
     -> exit_code;
 [[nodiscard]] auto abort_move(const command_options& options, const std::string& service)
     -> exit_code;
+[[nodiscard]] auto follow_move(const command_options& options, const std::string& service)
+    -> exit_code;
 [[nodiscard]] auto show_dump(const command_options& options) -> exit_code;
 [[nodiscard]] auto show_addresses(const command_options& options) -> exit_code;
 [[nodiscard]] auto send_query(const command_options& options, const query_arguments& query)
--- a/daemons/ctl/operator_client.cpp
+++ b/daemons/ctl/operator_client.cpp
@@ -1,6 +1,7 @@
 #include "operator_client.hpp"
 
 #include <knapweedchute/config/operators_file_reader.hpp>
+#include <knapweedchute/runtime/move_agent.hpp>
 
 #include <algorithm>
 #include <iostream>
@@ -106,6 +107,23 @@
     return result;
 }
 
+auto operator_client::move_report_text(const std::string& service, error& reason)
+    -> std::optional<std::string>
+{
+    const auto current = fetch(reason);
+    if (!current) {
+        return std::nullopt;
+    }
+    const auto* spec = current->file.find_service(service);
+    if (spec == nullptr || !spec->move) {
+        reason = {error_code::not_found, service, "no such service, or it declares no move"};
+        return std::nullopt;
+    }
+    auto platform = http_key_value_store{*store(), call_timeout, counters_};
+    const auto stored = platform.read(report_key(key_of_move(*spec)), reason);
+    return stored ? std::optional{stored->value} : std::nullopt;
+}
+
 auto operator_client::versions() -> version_report
 {
     auto report = version_report{};
--- a/daemons/ctl/operator_client.hpp
+++ b/daemons/ctl/operator_client.hpp
@@ -41,6 +41,10 @@
     /// \brief Edits the accepted file and applies the result, again after a conflict.
     [[nodiscard]] auto change(const edit& apply_edit) -> exit_code;
 
+    /// \brief The stored final report of the move that a service declares; empty before it ends.
+    [[nodiscard]] auto move_report_text(const std::string& service, error& reason)
+        -> std::optional<std::string>;
+
     /// \brief Version in force at every known instance.
     [[nodiscard]] auto versions() -> version_report;
 
--- a/daemons/knapweedctl.cpp
+++ b/daemons/knapweedctl.cpp
@@ -89,6 +89,16 @@
     }
 }
 
+auto add_follow_command(CLI::App& move, command_line& line) -> void
+{
+    auto* follow = move.add_subcommand("follow", "Show shares and the final report of a move");
+    follow->add_option("service", line.name, "Service")->required();
+    add_platform(follow, line);
+    add_admins(follow, line);
+    follow->callback(
+        [&line] { line.run = [&line] { return ctl::follow_move(line.options, line.name); }; });
+}
+
 auto add_move_command(CLI::App& app, command_line& line) -> void
 {
     auto* move = app.add_subcommand("move", "Move a service to another version");
@@ -103,6 +113,7 @@
             return ctl::start_move(line.options, line.name, line.version, line.finish_by_unix_s);
         };
     });
+    add_follow_command(*move, line);
     auto* abort = move->add_subcommand("abort", "Take a move back");
     abort->add_option("service", line.name, "Service")->required();
     add_change_options(abort, line);
--- a/include/knapweedchute/membership/membership.hpp
+++ b/include/knapweedchute/membership/membership.hpp
@@ -95,7 +95,7 @@
     [[nodiscard]] auto next_probe(time_point now) -> std::vector<outgoing>;
     [[nodiscard]] auto indirect_probes(time_point now) -> std::vector<outgoing>;
     [[nodiscard]] auto rumours() -> std::vector<outgoing>;
-    [[nodiscard]] auto random_members(std::size_t count, bool with_dead) -> std::vector<member>;
+    [[nodiscard]] auto random_members(std::size_t count) -> std::vector<member>;
     [[nodiscard]] auto retransmissions() const -> std::size_t;
     auto finish_probe(time_point now) -> void;
     auto expire_suspects(time_point now) -> void;
--- a/include/knapweedchute/runtime/peer_agent.hpp
+++ b/include/knapweedchute/runtime/peer_agent.hpp
@@ -81,7 +81,7 @@
     auto advance() -> void;
     auto tell_evidence() -> void;
     auto note_members() -> void;
-    auto want_fetch(const address& peer, std::uint64_t version) -> void;
+    auto want_fetch(const address& peer) -> void;
     auto fetch_configuration(const address& peer) -> void;
     auto fetch_members(const address& peer) -> void;
     auto synchronize_members() -> void;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -91,7 +91,7 @@
 auto membership::tell_evidence(const std::vector<evidence_row>& rows) -> std::vector<outgoing>
 {
     auto messages = std::vector<outgoing>{};
-    for (const auto& peer : random_members(options_.rumour_fanout, false)) {
+    for (const auto& peer : random_members(options_.rumour_fanout)) {
         auto message = peer_message{
             peer_message_kind::evidence, self_, 0, {}, config_version_, proof_age_ms_, {}, rows};
         messages.push_back({peer.peer_address, std::move(message)});
@@ -101,7 +101,7 @@
 
 auto membership::random_peer() -> std::optional<member>
 {
-    const auto chosen = random_members(1, false);
+    const auto chosen = random_members(1);
     return chosen.empty() ? std::nullopt : std::optional{chosen.front()};
 }
 
@@ -195,7 +195,7 @@
     if (subject == entries_.end()) {
         return messages;
     }
-    for (const auto& helper : random_members(options_.indirect_probes, false)) {
+    for (const auto& helper : random_members(options_.indirect_probes)) {
         if (helper.instance != probe_->instance) {
             auto message = make(peer_message_kind::indirect_ping, probe_->sequence);
             message.subject = subject->second.value.peer_address;
@@ -212,17 +212,17 @@
         return messages;
     }
     rumour_rounds_ -= 1;
-    for (const auto& peer : random_members(options_.rumour_fanout, false)) {
+    for (const auto& peer : random_members(options_.rumour_fanout)) {
         messages.push_back({peer.peer_address, make(peer_message_kind::ping, next_sequence_++)});
     }
     return messages;
 }
 
-auto membership::random_members(std::size_t count, bool with_dead) -> std::vector<member>
+auto membership::random_members(std::size_t count) -> std::vector<member>
 {
     auto candidates = std::vector<member>{};
     for (const auto& [name, known] : entries_) {
-        if (with_dead || known.value.serving()) {
+        if (known.value.serving()) {
             candidates.push_back(known.value);
         }
     }
--- a/src/runtime/peer_agent.cpp
+++ b/src/runtime/peer_agent.cpp
@@ -199,7 +199,7 @@
     holder_->on_peer(message->config_version, age, now);
     if (message->config_version > holder_->version() || (!joined_ && members_known > 1)) {
         joined_ = true;
-        want_fetch(message->from.peer_address, message->config_version);
+        want_fetch(message->from.peer_address);
     }
     note_members();
 }
@@ -240,10 +240,9 @@
     changed_();
 }
 
-auto peer_agent::want_fetch(const address& peer, std::uint64_t version) -> void
+auto peer_agent::want_fetch(const address& peer) -> void
 {
     const auto lock = std::lock_guard{fetch_mutex_};
-    static_cast<void>(version);
     fetch_from_ = peer;
     fetch_wanted_.notify_one();
 }
