--- a/tests/unit/query_coordinator_test.cpp
+++ b/tests/unit/query_coordinator_test.cpp
@@ -29,6 +29,20 @@
         driver.advance(request_policy{}.share_hold);
     }
 
+    /// One place per target and many searches, so that most parts wait.
+    auto leave_parts_waiting() -> void
+    {
+        for (auto& [address, fake] : driver.targets()) {
+            fake.limit = 1;
+        }
+        service.connections_per_replica = 1;
+        driver.configure(service, {});
+        driver.advance(request_policy{}.share_hold);
+        for (auto sent = 0; sent < 20; ++sent) {
+            driver.search(0, deadline, 1.0);
+        }
+    }
+
     auto target(std::size_t index) -> fake_target& { return driver.targets().at(where[index]); }
 
     /// Sends searches at a steady rate and lets them end.
@@ -162,15 +176,7 @@
 
 BOOST_AUTO_TEST_CASE(zone_out_queued_and_hedged_work_does_not_go_there)
 {
-    for (auto& [address, fake] : driver.targets()) {
-        fake.limit = 1;
-    }
-    service.connections_per_replica = 1;
-    driver.configure(service, {});
-    driver.advance(request_policy{}.share_hold);
-    for (auto sent = 0; sent < 20; ++sent) {
-        driver.search(0, deadline, 1.0);
-    }
+    leave_parts_waiting();
     driver.configure(service, {"b"});
     auto before = std::map<address, std::uint64_t>{};
     for (const auto& [address, fake] : driver.targets()) {
@@ -198,15 +204,7 @@
 
 BOOST_AUTO_TEST_CASE(freshness_lapsed_while_parts_wait_sends_none_of_them)
 {
-    for (auto& [address, fake] : driver.targets()) {
-        fake.limit = 1;
-    }
-    service.connections_per_replica = 1;
-    driver.configure(service, {});
-    driver.advance(request_policy{}.share_hold);
-    for (auto sent = 0; sent < 20; ++sent) {
-        driver.search(0, deadline, 1.0);
-    }
+    leave_parts_waiting();
     driver.coordinator(0).allow_until(driver.now() - milliseconds{1});
     auto before = std::uint64_t{0};
     auto after = std::uint64_t{0};
