--- a/daemons/ctl/operator_client.hpp
+++ b/daemons/ctl/operator_client.hpp
@@ -5,8 +5,8 @@
 
 #include <knapweedchute/config/configuration_store.hpp>
 #include <knapweedchute/core/counter_set.hpp>
-#include <knapweedchute/platform/http_key_value_store.hpp>
 #include <knapweedchute/runtime/http_client.hpp>
+#include <knapweedchute/store/http_key_value_store.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/include/knapweedchute/config/configuration_store.hpp
+++ b/include/knapweedchute/config/configuration_store.hpp
@@ -2,7 +2,7 @@
 
 #include <knapweedchute/config/configuration.hpp>
 #include <knapweedchute/config/configuration_head.hpp>
-#include <knapweedchute/platform/key_value_store.hpp>
+#include <knapweedchute/store/key_value_store.hpp>
 
 #include <optional>
 #include <string>
--- a/include/knapweedchute/config/object_reader.hpp
+++ b/include/knapweedchute/config/object_reader.hpp
@@ -44,6 +44,7 @@
     [[nodiscard]] auto text(std::string_view key) -> std::string;
     [[nodiscard]] auto integer(std::string_view key, std::int64_t lowest, std::int64_t highest)
         -> std::int64_t;
+    [[nodiscard]] auto number(std::string_view key, double lowest, double highest) -> double;
     [[nodiscard]] auto endpoint(std::string_view key) -> address;
     /// @}
 
@@ -52,6 +53,8 @@
     [[nodiscard]] auto text_or(std::string_view key, std::string fallback) -> std::string;
     [[nodiscard]] auto integer_or(std::string_view key, std::int64_t lowest, std::int64_t highest,
                                   std::int64_t fallback) -> std::int64_t;
+    [[nodiscard]] auto number_or(std::string_view key, double lowest, double highest,
+                                 double fallback) -> double;
     [[nodiscard]] auto flag_or(std::string_view key, bool fallback) -> bool;
     [[nodiscard]] auto endpoint_or(std::string_view key, address fallback) -> address;
     /// @}
--- /dev/null
+++ b/include/knapweedchute/entry/cluster_view.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <knapweedchute/route/route_table.hpp>
+#include <knapweedchute/target/target_registry.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace knapweedchute {
+
+/// \brief What an instance believes of routes and targets.
+class cluster_view
+{
+public:
+    /// \brief Takes a route table over unless it is older than the one in force.
+    /// \returns Whether it was taken over.
+    auto adopt(std::shared_ptr<const route_table> table) -> bool;
+
+    /// \brief Notes that the first whole list of targets has been read.
+    auto complete_targets() noexcept -> void { targets_known_ = true; }
+
+    /// \brief Whether requests can be served.
+    [[nodiscard]] auto ready() const noexcept -> bool { return table_ && targets_known_; }
+
+    [[nodiscard]] auto table() const noexcept -> const std::shared_ptr<const route_table>&
+    {
+        return table_;
+    }
+    [[nodiscard]] auto targets() noexcept -> target_registry& { return targets_; }
+    [[nodiscard]] auto targets() const noexcept -> const target_registry& { return targets_; }
+
+private:
+    std::shared_ptr<const route_table> table_;
+    target_registry targets_;
+    bool targets_known_ = false;
+};
+
+} // namespace knapweedchute
--- /dev/null
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <knapweedchute/core/counter_set.hpp>
+#include <knapweedchute/entry/cluster_view.hpp>
+#include <knapweedchute/entry/entry_interface.hpp>
+#include <knapweedchute/entry/entry_settings.hpp>
+#include <knapweedchute/entry/fixed_handler.hpp>
+#include <knapweedchute/entry/relay_handler.hpp>
+#include <knapweedchute/membership/address_choice.hpp>
+#include <knapweedchute/net/asio_timer_queue.hpp>
+#include <knapweedchute/net/caller_listener.hpp>
+#include <knapweedchute/net/connection_pool.hpp>
+#include <knapweedchute/net/peer_port.hpp>
+#include <knapweedchute/relay/relay_coordinator.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+
+namespace knapweedchute {
+
+/// \brief One entry process: relays callers' requests to targets.
+/// \detail One event loop: the machines give a process one thread at a time, and each hand-over
+///         between threads costs two wake-ups.
+class entry_instance
+{
+public:
+    /// \param incarnation Number of this start, higher than at any earlier one.
+    entry_instance(const entry_settings& values, entry_interface names, std::uint64_t incarnation);
+
+    /// \brief Opens the addresses.
+    [[nodiscard]] auto start(error& reason) -> bool;
+
+    /// \brief Serves until `stop` has come to its end.
+    auto run() -> void { loop_.run(); }
+
+    /// \brief Stops gracefully: not ready at once, serves until callers have let go.
+    auto stop() -> void;
+
+    [[nodiscard]] auto loop() noexcept -> boost::asio::io_context& { return loop_; }
+    [[nodiscard]] auto timers() noexcept -> timer_queue& { return timers_; }
+    [[nodiscard]] auto view() noexcept -> cluster_view& { return view_; }
+    [[nodiscard]] auto peers() noexcept -> peer_port& { return peers_; }
+
+private:
+    auto keep_house() -> void;
+    auto count_members() -> void;
+    auto finish_stop(time_point last) -> void;
+    [[nodiscard]] auto connection_share(const target_record& target) const -> std::size_t;
+    [[nodiscard]] auto answer_readiness() const -> relayed_answer;
+    [[nodiscard]] auto answer_addresses() -> relayed_answer;
+    [[nodiscard]] auto answer_metrics() const -> relayed_answer;
+    [[nodiscard]] auto answer_state() const -> relayed_answer;
+
+    entry_settings settings_;
+    entry_interface names_;
+    counter_set counters_;
+    boost::asio::io_context loop_{1};
+    asio_timer_queue timers_{loop_};
+    cluster_view view_;
+    peer_port peers_;
+    extra_window extras_;
+    connection_pool pool_;
+    relay_coordinator coordinator_;
+    address_choice choice_;
+    relay_handler relay_;
+    fixed_handler readiness_;
+    fixed_handler directory_;
+    fixed_handler admin_;
+    caller_listener callers_;
+    caller_listener readiness_listener_;
+    caller_listener directory_listener_;
+    caller_listener admin_listener_;
+    std::size_t instances_ = 1;
+    time_point instances_noted_;
+    bool stopping_ = false;
+};
+
+} // namespace knapweedchute
--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -42,9 +42,6 @@
 #include <knapweedchute/move/move_judge.hpp>
 #include <knapweedchute/move/move_plan.hpp>
 #include <knapweedchute/move/move_result.hpp>
-#include <knapweedchute/platform/http_key_value_store.hpp>
-#include <knapweedchute/platform/key_value_store.hpp>
-#include <knapweedchute/platform/stored_value.hpp>
 #include <knapweedchute/query/action.hpp>
 #include <knapweedchute/query/admission_control.hpp>
 #include <knapweedchute/query/attempt_failure.hpp>
@@ -99,5 +96,8 @@
 #include <knapweedchute/runtime/store_agent.hpp>
 #include <knapweedchute/runtime/transfer.hpp>
 #include <knapweedchute/runtime/transfer_worker.hpp>
+#include <knapweedchute/store/http_key_value_store.hpp>
+#include <knapweedchute/store/key_value_store.hpp>
+#include <knapweedchute/store/stored_value.hpp>
 #include <knapweedchute/wire/bounded.hpp>
 #include <knapweedchute/wire/envelope.hpp>
--- /dev/null
+++ b/include/knapweedchute/net/caller_session.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <knapweedchute/net/impl/http_library.hpp>
+#include <knapweedchute/net/request_handler.hpp>
+#include <knapweedchute/relay/header_names.hpp>
+#include <knapweedchute/relay/timer_queue.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace knapweedchute {
+
+/// \brief One caller's connection: reads requests one after the other and writes their answers.
+///
+/// \detail Reading never stops while a request is in progress, so that a caller that leaves is
+///         noticed at once. Malformed, over-long and over-slow requests get a typed answer and the
+///         connection is closed.
+class caller_session : public std::enable_shared_from_this<caller_session>
+{
+public:
+    caller_session(boost::asio::ip::tcp::socket socket, request_handler& handler,
+                   timer_queue& timers, const header_names& names);
+    ~caller_session();
+    caller_session(const caller_session&) = delete;
+    auto operator=(const caller_session&) -> caller_session& = delete;
+
+    /// \brief Starts to read.
+    auto start() -> void;
+
+    /// \brief Makes the next answer the last one.
+    auto close_after_answer() -> void { closing_ = true; }
+
+    /// \brief Closes if no request is in progress or partly read.
+    auto close_if_idle() -> void;
+
+private:
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    /// \brief What the session waits for.
+    enum class stage
+    {
+        idle,      ///< First byte of a request.
+        header,    ///< Rest of the header.
+        body,      ///< Rest of the body.
+        busy,      ///< Answer of the handler.
+        writing,   ///< The answer to leave.
+        lingering, ///< The caller to close after the last answer.
+        closed
+    };
+
+    auto read() -> void;
+    auto on_read(const boost::system::error_code& failure, std::size_t count) -> void;
+    auto parse() -> void;
+    auto parse_some() -> bool;
+    auto on_parse_error(const boost::system::error_code& failure) -> void;
+    auto on_request() -> void;
+    auto respond(relayed_answer answer, bool close) -> void;
+    auto on_written(bool close) -> void;
+    auto enter(stage next) -> void;
+    auto on_timeout() -> void;
+    auto linger() -> void;
+    auto close() -> void;
+    auto new_parser() -> void;
+    [[nodiscard]] auto to_request() -> relayed_request;
+
+    boost::asio::ip::tcp::socket socket_;
+    request_handler* handler_;
+    timer_queue* timers_;
+    const header_names* names_;
+    caller_limits limits_;
+    boost::beast::flat_buffer input_;
+    std::array<char, 8'192> chunk_{};
+    std::optional<parser> parser_;
+    std::string output_;
+    std::uint64_t call_ = 0;
+    std::uint64_t serial_ = 0;
+    timer_id timer_ = 0;
+    stage stage_ = stage::idle;
+    bool closing_ = false;
+    bool head_only_ = false;
+    bool reading_ = false;
+};
+
+} // namespace knapweedchute
--- /dev/null
+++ b/include/knapweedchute/net/impl/http_library.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/// \file
+/// \brief The HTTP library's headers as this project uses them.
+
+// The library's string view names std::ostream without declaring it: its order must stay.
+// clang-format off
+#include <ostream>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+// clang-format on
--- a/include/knapweedchute/query/query_coordinator.hpp
+++ b/include/knapweedchute/query/query_coordinator.hpp
@@ -147,6 +147,7 @@
     auto finish(query_map::iterator found, bool at_deadline, time_point now, action_list& actions)
         -> void;
     [[nodiscard]] auto attempt_limit() const -> duration;
+    auto note_connection(query_key key, const part_answer& answer, target_state& target) -> void;
     auto tally(const impl::query_progress& progress, time_point now) -> void;
 
     target_table table_;
--- a/include/knapweedchute/query/query_progress.hpp
+++ b/include/knapweedchute/query/query_progress.hpp
@@ -48,6 +48,7 @@
     bool sent = false;
     bool restarted = false;
     bool forwarded = false;
+    bool opened_connection = false; ///< A part waited for a first connection: its time is no proof.
 };
 
 /// \brief One attempt in progress.
--- a/include/knapweedchute/query/target_state.hpp
+++ b/include/knapweedchute/query/target_state.hpp
@@ -40,6 +40,7 @@
     std::size_t ejections = 0;               ///< Ejections since it was last healthy.
     std::optional<time_point> ejected_until; ///< End of the ejection.
     bool distrust_connections = false;       ///< Whether open connections may be silent.
+    std::size_t connections_opened = 0;      ///< Answers so far that a connection was made for.
 
     /// \brief Whether it may get new work at all.
     [[nodiscard]] auto eligible() const noexcept -> bool
--- /dev/null
+++ b/include/knapweedchute/relay/replica_placing.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <knapweedchute/relay/exchange_port.hpp>
+#include <knapweedchute/relay/relay_policy.hpp>
+#include <knapweedchute/relay/replica_load.hpp>
+#include <knapweedchute/target/target_registry.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace knapweedchute {
+
+/// \brief A target chosen for a request, with its expected cost.
+struct placement
+{
+    std::shared_ptr<const target_record> target; ///< Null if none can be used.
+    double cost = 0.0;                           ///< Multiple of the usual time.
+    bool only_full = false;                      ///< Some fit, but none has a connection left.
+};
+
+/// \brief Chooses the target of a service that is expected to answer first.
+/// \detail Answers uneven, pausing, slow and failing targets with nothing but what this instance
+///         has seen itself. Health answers are not consulted: they lie.
+class replica_placing
+{
+public:
+    /// \param own_zone Availability zone of this instance.
+    replica_placing(relay_policy policy, std::string own_zone, const target_registry& registry,
+                    const exchange_port& port, std::uint64_t seed);
+
+    /// \brief The target to use now.
+    /// \param tried Ids that have had the request already.
+    [[nodiscard]] auto choose(const std::string& service, const std::vector<std::string>& tried,
+                              time_point now) -> placement;
+
+    /// \brief What is known of a target.
+    [[nodiscard]] auto load(const std::string& target_id) -> replica_load&;
+
+    /// \brief Forgets targets that left.
+    auto forget_unknown() -> void;
+
+private:
+    [[nodiscard]] auto cost(const target_record& target, time_point now) -> double;
+
+    relay_policy policy_;
+    std::string own_zone_;
+    const target_registry* registry_;
+    const exchange_port* port_;
+    std::mt19937_64 random_;
+    std::map<std::string, replica_load> loads_;
+};
+
+} // namespace knapweedchute
--- a/include/knapweedchute/runtime/store_agent.hpp
+++ b/include/knapweedchute/runtime/store_agent.hpp
@@ -4,9 +4,9 @@
 #include <knapweedchute/config/configuration_store.hpp>
 #include <knapweedchute/config/settings.hpp>
 #include <knapweedchute/core/counter_set.hpp>
-#include <knapweedchute/platform/http_key_value_store.hpp>
 #include <knapweedchute/runtime/move_agent.hpp>
 #include <knapweedchute/runtime/peer_agent.hpp>
+#include <knapweedchute/store/http_key_value_store.hpp>
 
 #include <condition_variable>
 #include <mutex>
--- a/include/knapweedchute/platform/http_key_value_store.hpp
+++ b/include/knapweedchute/store/http_key_value_store.hpp
@@ -2,8 +2,8 @@
 
 #include <knapweedchute/core/address.hpp>
 #include <knapweedchute/core/counter_set.hpp>
-#include <knapweedchute/platform/key_value_store.hpp>
 #include <knapweedchute/runtime/http_client.hpp>
+#include <knapweedchute/store/key_value_store.hpp>
 
 namespace knapweedchute {
 
--- a/include/knapweedchute/platform/key_value_store.hpp
+++ b/include/knapweedchute/store/key_value_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <knapweedchute/core/error.hpp>
-#include <knapweedchute/platform/stored_value.hpp>
+#include <knapweedchute/store/stored_value.hpp>
 
 #include <cstdint>
 #include <optional>
--- a/src/config/object_reader.cpp
+++ b/src/config/object_reader.cpp
@@ -46,6 +46,11 @@
     return required(key) == nullptr ? lowest : integer_or(key, lowest, highest, lowest);
 }
 
+auto object_reader::number(std::string_view key, double lowest, double highest) -> double
+{
+    return required(key) == nullptr ? lowest : number_or(key, lowest, highest, lowest);
+}
+
 auto object_reader::endpoint(std::string_view key) -> address
 {
     return required(key) == nullptr ? address{} : endpoint_or(key, {});
@@ -82,6 +87,24 @@
     return value->get<std::int64_t>();
 }
 
+auto object_reader::number_or(std::string_view key, double lowest, double highest, double fallback)
+    -> double
+{
+    const auto* value = child(key);
+    if (value == nullptr) {
+        return fallback;
+    }
+    const auto in_range =
+        value->is_number() && value->get<double>() >= lowest && value->get<double>() <= highest;
+    if (!in_range) {
+        fault(key, error_code::invalid_value,
+              "expected a number from " + std::to_string(lowest) + " to " +
+                  std::to_string(highest));
+        return fallback;
+    }
+    return value->get<double>();
+}
+
 auto object_reader::flag_or(std::string_view key, bool fallback) -> bool
 {
     const auto* value = child(key);
--- /dev/null
+++ b/src/entry/entry_instance.cpp
@@ -0,0 +1,187 @@
+#include <knapweedchute/core/log.hpp>
+#include <knapweedchute/entry/entry_instance.hpp>
+#include <knapweedchute/relay/refusal_answer.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedchute {
+namespace {
+
+constexpr auto housekeeping_interval = milliseconds{250};
+/// Instances that were seen lately may still hold connections and send.
+constexpr auto instances_remembered_for = seconds{20};
+/// Part of a target's connections that is divided; the rest is for those that nobody counts.
+constexpr auto divided_part = 0.95;
+/// Kept free before the platform kills the process.
+constexpr auto stop_margin = milliseconds{700};
+constexpr auto stop_poll = milliseconds{20};
+constexpr auto status_ok = 200U;
+const auto log_line = logger{"entry"};
+
+auto self_of(const entry_settings& values, std::uint64_t incarnation) -> member
+{
+    return {values.instance,       values.availability_zone, values.peer_address,
+            values.caller_address, values.admin_address,     incarnation,
+            member_state::joining};
+}
+
+/// The settings bring no secret: messages of other deployments are told apart by their store.
+auto codec_of(const entry_settings& values) -> envelope
+{
+    return {to_string(values.store_address), message_key{to_string(values.store_address)}};
+}
+
+} // namespace
+
+entry_instance::entry_instance(const entry_settings& values, entry_interface names,
+                               std::uint64_t incarnation)
+    : settings_{values}, names_{std::move(names)}, peers_{loop_, timers_,
+                                                          self_of(values, incarnation),
+                                                          values.seeds, codec_of(values)},
+      extras_{values.extras}, pool_{loop_, timers_, names_.headers,
+                                    [this](const auto& target) {
+                                        return connection_share(target);
+                                    }},
+      coordinator_{{},
+                   names_.headers,
+                   values.availability_zone,
+                   {view_.targets(), pool_, timers_, extras_, counters_},
+                   incarnation},
+      choice_{incarnation}, relay_{view_, coordinator_},
+      readiness_{{{names_.readiness_path, [this](const auto&) { return answer_readiness(); }}}},
+      directory_{{{names_.addresses_path, [this](const auto&) { return answer_addresses(); }}}},
+      admin_{{{"/metrics", [this](const auto&) { return answer_metrics(); }},
+              {"/state", [this](const auto&) { return answer_state(); }}}},
+      callers_{loop_, relay_, timers_, names_.headers}, readiness_listener_{loop_, readiness_,
+                                                                            timers_,
+                                                                            names_.headers},
+      directory_listener_{loop_, directory_, timers_, names_.headers}, admin_listener_{
+                                                                           loop_, admin_, timers_,
+                                                                           names_.headers}
+{
+}
+
+auto entry_instance::start(error& reason) -> bool
+{
+    const auto open = callers_.open(settings_.caller_address, reason) &&
+                      readiness_listener_.open(settings_.readiness_address, reason) &&
+                      directory_listener_.open(settings_.directory_address, reason) &&
+                      admin_listener_.open(settings_.admin_address, reason) && peers_.open(reason);
+    if (!open) {
+        return false;
+    }
+    keep_house();
+    log_line.info("Started.",
+                  {{"instance", settings_.instance}, {"zone", settings_.availability_zone}});
+    return true;
+}
+
+auto entry_instance::stop() -> void
+{
+    if (std::exchange(stopping_, true)) {
+        return;
+    }
+    log_line.info("Leaving.", {{"in_progress", std::to_string(coordinator_.in_progress())}});
+    peers_.announce(member_state::leaving);
+    callers_.close_after_answers();
+    const auto last = timers_.now() + settings_.stop_grace - stop_margin;
+    // Callers keep an address answer for up to three lifetimes.
+    const auto let_go = timers_.now() + settings_.address_lifetime * 4;
+    timers_.at(std::min(let_go, last), [this, last] { finish_stop(last); });
+}
+
+auto entry_instance::finish_stop(time_point last) -> void
+{
+    callers_.close_idle();
+    if (coordinator_.in_progress() > 0 && timers_.now() < last) {
+        timers_.at(timers_.now() + stop_poll, [this, last] { finish_stop(last); });
+        return;
+    }
+    peers_.announce(member_state::left);
+    log_line.info("Stopped.", {{"in_progress", std::to_string(coordinator_.in_progress())}});
+    timers_.at(timers_.now() + stop_poll, [this] { loop_.stop(); });
+}
+
+auto entry_instance::keep_house() -> void
+{
+    const auto now = timers_.now();
+    auto& targets = view_.targets();
+    targets.expire(now);
+    pool_.sweep([&](const auto& target) { return targets.may_use(target); });
+    coordinator_.retry_waiting();
+    coordinator_.forget_unknown();
+    count_members();
+    if (!stopping_ && view_.ready() && peers_.self().state == member_state::joining) {
+        peers_.announce(member_state::alive);
+        log_line.info("Serving callers.");
+    }
+    timers_.at(now + housekeeping_interval, [this] { keep_house(); });
+}
+
+auto entry_instance::count_members() -> void
+{
+    const auto now = timers_.now();
+    const auto members = peers_.members();
+    const auto serving = static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [](const auto& known) { return known.serving(); }));
+    if (serving >= instances_ || now - instances_noted_ > instances_remembered_for) {
+        instances_ = serving;
+        instances_noted_ = now;
+    }
+    extras_.share_among(instances_);
+}
+
+auto entry_instance::connection_share(const target_record& target) const -> std::size_t
+{
+    const auto limit =
+        view_.table() ? view_.table()->rules(target.service).connections : std::int64_t{1};
+    const auto divided = static_cast<double>(limit) * divided_part;
+    return std::max<std::size_t>(static_cast<std::size_t>(divided) / instances_, 1);
+}
+
+auto entry_instance::answer_readiness() const -> relayed_answer
+{
+    const auto ready = view_.ready() && !stopping_;
+    return ready
+               ? own_answer(status_ok, "")
+               : not_run_answer(stopping_ ? "stopping" : "no configuration yet", milliseconds{250});
+}
+
+auto entry_instance::answer_addresses() -> relayed_answer
+{
+    const auto chosen = choice_.choose(peers_.members(), {}, {});
+    if (chosen.empty()) {
+        return not_run_answer("no instance is ready", milliseconds{250});
+    }
+    return {status_ok,
+            {{"Content-Type", "application/json"}},
+            names_.encode_addresses(chosen, settings_.address_lifetime)};
+}
+
+auto entry_instance::answer_metrics() const -> relayed_answer
+{
+    return {
+        status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.prometheus_text()};
+}
+
+auto entry_instance::answer_state() const -> relayed_answer
+{
+    auto members = nlohmann::json::array();
+    for (const auto& known : peers_.members()) {
+        members.push_back({{"instance", known.instance},
+                           {"zone", known.availability_zone},
+                           {"state", std::string{to_string(known.state)}}});
+    }
+    const auto body = nlohmann::json{{"instance", settings_.instance},
+                                     {"version", view_.table() ? view_.table()->version() : 0},
+                                     {"targets", view_.targets().size()},
+                                     {"members", members},
+                                     {"connections", pool_.open_connections()},
+                                     {"in_progress", coordinator_.in_progress()}};
+    return {status_ok, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/entry/entry_settings_reader.cpp
@@ -0,0 +1,68 @@
+#include <knapweedchute/entry/entry_settings_reader.hpp>
+
+namespace knapweedchute {
+namespace {
+
+constexpr auto longest_period_ms = std::int64_t{600'000};
+constexpr auto shortest_period_s = 0.001;
+constexpr auto longest_period_s = 600.0;
+constexpr auto most_extras = 1e6;
+
+/// Seeds name the admin addresses of peers; datagrams go to their peer port.
+auto read_seeds(object_reader& reader, std::uint16_t peer_port, fault_list& faults)
+    -> std::vector<address>
+{
+    auto seeds = std::vector<address>{};
+    reader.each("seeds", [&](const auto& element, const auto& path) {
+        auto reason = error{};
+        const auto seed = element.is_string()
+                              ? parse_address(element.template get<std::string>(), reason)
+                              : std::nullopt;
+        if (!seed) {
+            faults.push_back({error_code::invalid_value, path, "expected IP:PORT"});
+            return;
+        }
+        seeds.push_back({seed->ip, peer_port});
+    });
+    return seeds;
+}
+
+} // namespace
+
+auto entry_settings_reader::read(std::string_view text) -> std::optional<entry_settings>
+{
+    faults_.clear();
+    auto reason = error{};
+    const auto json = parse_json(text, reason);
+    if (!json) {
+        faults_.push_back(reason);
+        return std::nullopt;
+    }
+    auto reader = object_reader{*json, "", faults_};
+    const auto period = [&](std::string_view key) {
+        return milliseconds{reader.integer(key, 1, longest_period_ms)};
+    };
+    const auto seconds_at = [&](std::string_view key) {
+        const auto value = reader.number(key, shortest_period_s, longest_period_s);
+        return std::chrono::round<milliseconds>(std::chrono::duration<double>(value));
+    };
+    auto value = entry_settings{};
+    value.instance = reader.text("instance");
+    value.availability_zone = reader.text("availability_zone");
+    value.caller_address = reader.endpoint("caller_address");
+    value.readiness_address = reader.endpoint("readiness_address");
+    value.directory_address = reader.endpoint("directory_address");
+    value.admin_address = reader.endpoint("admin_address");
+    value.peer_address = reader.endpoint("peer_address");
+    value.store_address = reader.endpoint("store_address");
+    value.seeds = read_seeds(reader, value.peer_address.port, faults_);
+    value.address_lifetime = period("address_lifetime_ms");
+    value.stop_grace = seconds_at("stop_grace_s");
+    value.extras.window = seconds_at("extra_window_s");
+    value.extras.ratio = reader.number("extra_ratio", 0.0, 1.0);
+    value.extras.allowance = reader.number("extra_allowance", 0.0, most_extras);
+    reader.finish();
+    return faults_.empty() ? std::optional{std::move(value)} : std::nullopt;
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/net/call_client.cpp
@@ -0,0 +1,74 @@
+#include <knapweedchute/net/call_client.hpp>
+
+#include <utility>
+
+namespace knapweedchute {
+namespace {
+
+/// A name that no header has: calls of this client carry no request id and no other marks.
+constexpr auto no_header = "-";
+
+} // namespace
+
+call_client::call_client(boost::asio::io_context& loop, timer_queue& timers, const address& where)
+    : loop_{&loop}, timers_{&timers}, where_{where}, no_names_{no_header, no_header, no_header,
+                                                               no_header, no_header, no_header,
+                                                               no_header}
+{
+}
+
+auto call_client::call(std::string text, duration timeout, listener done) -> void
+{
+    queue_.push_back({std::move(text), timeout, std::move(done)});
+    if (!busy_) {
+        next();
+    }
+}
+
+auto call_client::encode(std::string_view method, std::string_view target,
+                         std::string_view body) const -> std::string
+{
+    auto text = std::string{method} + " " + std::string{target} +
+                " HTTP/1.1\r\nHost: " + to_string(where_) + "\r\n";
+    if (!body.empty() || method == "POST") {
+        text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+                "\r\n";
+    }
+    return text + "\r\n" + std::string{body};
+}
+
+auto call_client::next() -> void
+{
+    if (queue_.empty()) {
+        return;
+    }
+    busy_ = true;
+    auto current = std::move(queue_.front());
+    queue_.pop_front();
+    const auto reuse = connection_ && !connection_->closed();
+    if (!reuse) {
+        connection_ = std::make_shared<target_connection>(*loop_, no_names_, [](const auto&) {});
+    }
+    const auto timer =
+        timers_->at(timers_->now() + current.timeout, [weak = std::weak_ptr{connection_}] {
+            if (const auto alive = weak.lock()) {
+                alive->close(exchange_end::unknown);
+            }
+        });
+    auto ended = [this, timer, done = std::move(current.done)](exchange_result result) {
+        timers_->cancel(timer);
+        busy_ = false;
+        done(std::move(result));
+        if (!busy_) {
+            next();
+        }
+    };
+    auto order = exchange_order{nullptr, std::move(current.text), {}, true, true};
+    if (reuse) {
+        connection_->exchange(std::move(order), std::move(ended));
+    } else {
+        connection_->open(where_, std::move(order), std::move(ended));
+    }
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/net/caller_listener.cpp
@@ -0,0 +1,98 @@
+#include <knapweedchute/core/log.hpp>
+#include <knapweedchute/net/caller_listener.hpp>
+
+#include <algorithm>
+
+namespace knapweedchute {
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr auto backlog = 512;
+/// Wait after a failed accept: descriptors are short then.
+constexpr auto accept_pause = milliseconds{50};
+constexpr auto forget_interval = std::size_t{256};
+const auto log_line = logger{"listener"};
+
+} // namespace
+
+caller_listener::caller_listener(boost::asio::io_context& loop, request_handler& handler,
+                                 timer_queue& timers, const header_names& names)
+    : loop_{&loop}, handler_{&handler}, timers_{&timers}, names_{&names}, acceptor_{loop}
+{
+}
+
+auto caller_listener::open(const address& where, error& reason) -> bool
+{
+    const auto end = tcp::endpoint{boost::asio::ip::address_v4{where.ip}, where.port};
+    auto failure = boost::system::error_code{};
+    const auto step = [&](auto&& work) {
+        if (!failure) {
+            work();
+        }
+    };
+    step([&] { acceptor_.open(end.protocol(), failure); });
+    step([&] { acceptor_.set_option(tcp::acceptor::reuse_address{true}, failure); });
+    step([&] { acceptor_.bind(end, failure); });
+    step([&] { acceptor_.listen(backlog, failure); });
+    if (failure) {
+        reason = {error_code::invalid_value, to_string(where), failure.message()};
+        return false;
+    }
+    accept();
+    return true;
+}
+
+auto caller_listener::accept() -> void
+{
+    acceptor_.async_accept([this](const auto& failure, tcp::socket socket) {
+        if (closing_ && !acceptor_.is_open()) {
+            return;
+        }
+        if (failure) {
+            log_line.warning("Connection not accepted.", {{"reason", failure.message()}});
+            timers_->at(timers_->now() + accept_pause, [this] { accept(); });
+            return;
+        }
+        const auto session =
+            std::make_shared<caller_session>(std::move(socket), *handler_, *timers_, *names_);
+        sessions_.push_back(session);
+        forget_ended();
+        if (closing_) {
+            session->close_after_answer();
+        }
+        session->start();
+        accept();
+    });
+}
+
+auto caller_listener::forget_ended() -> void
+{
+    if (sessions_.size() % forget_interval == 0) {
+        std::erase_if(sessions_, [](const auto& session) { return session.expired(); });
+    }
+}
+
+auto caller_listener::close_after_answers() -> void
+{
+    closing_ = true;
+    for (const auto& session : sessions_) {
+        if (const auto alive = session.lock()) {
+            alive->close_after_answer();
+        }
+    }
+}
+
+auto caller_listener::close_idle() -> void
+{
+    closing_ = true;
+    auto ignored = boost::system::error_code{};
+    acceptor_.close(ignored);
+    for (const auto& session : sessions_) {
+        if (const auto alive = session.lock()) {
+            alive->close_if_idle();
+        }
+    }
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/net/caller_session.cpp
@@ -0,0 +1,277 @@
+#include "message_fields.hpp"
+
+#include <knapweedchute/net/answer_encoder.hpp>
+#include <knapweedchute/net/caller_session.hpp>
+#include <knapweedchute/relay/refusal_answer.hpp>
+
+#include <boost/asio/write.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace knapweedchute {
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Bytes of later requests that are kept while one is in progress.
+constexpr auto most_read_ahead = std::size_t{65'536};
+/// Wait for a caller to close after the last answer, so that the answer is not reset away.
+constexpr auto linger_time = milliseconds{1'000};
+
+} // namespace
+
+caller_session::caller_session(boost::asio::ip::tcp::socket socket, request_handler& handler,
+                               timer_queue& timers, const header_names& names)
+    : socket_{std::move(socket)}, handler_{&handler}, timers_{&timers}, names_{&names},
+      limits_{handler.limits()}
+{
+}
+
+caller_session::~caller_session()
+{
+    timers_->cancel(timer_);
+}
+
+auto caller_session::start() -> void
+{
+    auto ignored = boost::system::error_code{};
+    socket_.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+    new_parser();
+    enter(stage::idle);
+    read();
+}
+
+auto caller_session::close_if_idle() -> void
+{
+    if (stage_ == stage::idle && input_.size() == 0) {
+        close();
+    }
+}
+
+auto caller_session::new_parser() -> void
+{
+    limits_ = handler_->limits();
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+    parser_->body_limit(limits_.body_bytes);
+    parser_->eager(true);
+}
+
+auto caller_session::read() -> void
+{
+    if (reading_ || stage_ == stage::closed || input_.size() > most_read_ahead) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(boost::asio::buffer(chunk_),
+                            [self = shared_from_this()](const auto& failure, std::size_t count) {
+                                self->reading_ = false;
+                                self->on_read(failure, count);
+                            });
+}
+
+auto caller_session::on_read(const boost::system::error_code& failure, std::size_t count) -> void
+{
+    if (stage_ == stage::closed) {
+        return;
+    }
+    if (failure) {
+        if (stage_ == stage::busy && call_ != 0) {
+            handler_->leave(std::exchange(call_, 0));
+        }
+        close();
+        return;
+    }
+    if (stage_ != stage::lingering) {
+        const auto space = input_.prepare(count);
+        boost::asio::buffer_copy(space, boost::asio::buffer(chunk_, count));
+        input_.commit(count);
+        parse();
+    }
+    read();
+}
+
+auto caller_session::parse() -> void
+{
+    while (input_.size() > 0 && parse_some()) {
+    }
+}
+
+auto caller_session::parse_some() -> bool
+{
+    if (stage_ != stage::idle && stage_ != stage::header && stage_ != stage::body) {
+        return false;
+    }
+    if (stage_ == stage::idle) {
+        enter(stage::header);
+    }
+    auto failure = boost::system::error_code{};
+    input_.consume(parser_->put(input_.data(), failure));
+    if (failure && failure != http::error::need_more) {
+        on_parse_error(failure);
+        return false;
+    }
+    if (parser_->is_done()) {
+        on_request();
+        return true;
+    }
+    if (parser_->is_header_done()) {
+        if (stage_ == stage::header &&
+            same_name(std::string_view{parser_->get()[http::field::expect].data(),
+                                       parser_->get()[http::field::expect].size()},
+                      "100-continue")) {
+            static const auto go_on = std::string{"HTTP/1.1 100 Continue\r\n\r\n"};
+            boost::asio::async_write(socket_, boost::asio::buffer(go_on),
+                                     [self = shared_from_this()](const auto&, std::size_t) {});
+        }
+        enter(stage::body);
+    }
+    return !failure;
+}
+
+auto caller_session::on_parse_error(const boost::system::error_code& failure) -> void
+{
+    constexpr auto bad_request = 400U;
+    constexpr auto body_too_large = 413U;
+    constexpr auto header_too_large = 431U;
+    if (failure == http::error::header_limit) {
+        respond(own_answer(header_too_large, "header too large"), true);
+    } else if (failure == http::error::body_limit) {
+        respond(own_answer(body_too_large, "body too large"), true);
+    } else {
+        respond(own_answer(bad_request, failure.message()), true);
+    }
+}
+
+auto caller_session::on_request() -> void
+{
+    constexpr auto bad_request = 400U;
+    const auto& parsed = parser_->get();
+    const auto close = !parsed.keep_alive();
+    head_only_ = parsed.method() == http::verb::head;
+    if (parsed.count(http::field::host) != 1) {
+        respond(own_answer(bad_request, "exactly one Host expected"), true);
+        return;
+    }
+    auto request = to_request();
+    enter(stage::busy);
+    const auto serial = ++serial_;
+    const auto weak = weak_from_this();
+    const auto call = handler_->handle(std::move(request), [weak, serial, close](auto answer) {
+        const auto alive = weak.lock();
+        if (alive && alive->stage_ == stage::busy && alive->serial_ == serial) {
+            alive->call_ = 0;
+            alive->respond(std::move(answer), close);
+        }
+    });
+    if (stage_ == stage::busy && serial_ == serial) {
+        call_ = call;
+    }
+}
+
+auto caller_session::to_request() -> relayed_request
+{
+    auto message = parser_->release();
+    auto request = relayed_request{};
+    request.method = std::string{message.method_string()};
+    request.target = std::string{message.target()};
+    request.host = std::string{message[http::field::host]};
+    request.id = std::string{message[names_->request_id]};
+    const auto waits = message[names_->deadline];
+    auto wait_ms = std::int64_t{0};
+    const auto read = std::from_chars(waits.data(), waits.data() + waits.size(), wait_ms);
+    if (read.ec == std::errc{} && wait_ms >= 0 && !waits.empty()) {
+        request.deadline = milliseconds{std::min<std::int64_t>(wait_ms, 3'600'000)};
+    }
+    message.erase(http::field::host);
+    message.erase(names_->deadline);
+    message.erase(names_->expected_target);
+    request.fields = impl::passed_fields(message.base());
+    request.body = std::move(message.body());
+    return request;
+}
+
+auto caller_session::respond(relayed_answer answer, bool close) -> void
+{
+    close = close || closing_;
+    output_ = encode_answer(answer, head_only_, close);
+    enter(stage::writing);
+    boost::asio::async_write(socket_, boost::asio::buffer(output_),
+                             [self = shared_from_this(), close](const auto& failure, std::size_t) {
+                                 if (failure) {
+                                     self->close();
+                                 } else if (self->stage_ == stage::writing) {
+                                     self->on_written(close);
+                                 }
+                             });
+}
+
+auto caller_session::on_written(bool close) -> void
+{
+    if (close) {
+        linger();
+        return;
+    }
+    new_parser();
+    enter(stage::idle);
+    parse();
+    read();
+}
+
+auto caller_session::enter(stage next) -> void
+{
+    const auto same = next == stage_ && next == stage::header;
+    stage_ = next;
+    if (same) {
+        return;
+    }
+    timers_->cancel(std::exchange(timer_, 0));
+    auto wait = duration{limits_.idle_timeout};
+    if (next == stage::busy || next == stage::closed) {
+        return;
+    }
+    if (next == stage::header) {
+        wait = limits_.header_timeout;
+    }
+    if (next == stage::lingering) {
+        wait = linger_time;
+    }
+    timer_ = timers_->at(timers_->now() + wait, [weak = weak_from_this()] {
+        if (const auto alive = weak.lock()) {
+            alive->timer_ = 0;
+            alive->on_timeout();
+        }
+    });
+}
+
+auto caller_session::on_timeout() -> void
+{
+    constexpr auto request_timeout = 408U;
+    if (stage_ == stage::header || stage_ == stage::body) {
+        respond(own_answer(request_timeout, "request came too slowly"), true);
+        return;
+    }
+    close();
+}
+
+auto caller_session::linger() -> void
+{
+    auto ignored = boost::system::error_code{};
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    input_.consume(input_.size());
+    enter(stage::lingering);
+    read();
+}
+
+auto caller_session::close() -> void
+{
+    if (stage_ == stage::closed) {
+        return;
+    }
+    enter(stage::closed);
+    auto ignored = boost::system::error_code{};
+    socket_.close(ignored);
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/net/message_fields.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <knapweedchute/net/impl/http_library.hpp>
+#include <knapweedchute/relay/http_field.hpp>
+
+namespace knapweedchute::impl {
+
+/// \brief Headers of a parsed message that may be passed on; its framing is left out.
+[[nodiscard]] inline auto passed_fields(const boost::beast::http::fields& parsed) -> field_list
+{
+    auto fields = field_list{};
+    for (const auto& field : parsed) {
+        if (field.name() != boost::beast::http::field::content_length) {
+            fields.push_back({std::string{field.name_string()}, std::string{field.value()}});
+        }
+    }
+    remove_connection_fields(fields);
+    return fields;
+}
+
+} // namespace knapweedchute::impl
--- /dev/null
+++ b/src/net/peer_port.cpp
@@ -0,0 +1,98 @@
+#include <knapweedchute/core/log.hpp>
+#include <knapweedchute/net/peer_port.hpp>
+
+#include <utility>
+
+namespace knapweedchute {
+namespace {
+
+using boost::asio::ip::udp;
+
+/// A third of membership's probe period: indirect probes are sent that long after a missed one.
+constexpr auto tick_interval = milliseconds{170};
+const auto log_line = logger{"peer"};
+
+} // namespace
+
+peer_port::peer_port(boost::asio::io_context& loop, timer_queue& timers, const member& self,
+                     std::vector<address> seeds, envelope codec)
+    : timers_{&timers}, where_{self.peer_address}, codec_{std::move(codec)},
+      membership_{self, std::move(seeds), {}, self.incarnation}, socket_{loop}
+{
+}
+
+auto peer_port::open(error& reason) -> bool
+{
+    auto failure = boost::system::error_code{};
+    const auto end = udp::endpoint{boost::asio::ip::address_v4{where_.ip}, where_.port};
+    socket_.open(end.protocol(), failure);
+    if (!failure) {
+        socket_.bind(end, failure);
+    }
+    if (failure) {
+        reason = {error_code::invalid_value, to_string(where_), failure.message()};
+        return false;
+    }
+    socket_.non_blocking(true);
+    receive();
+    tick();
+    return true;
+}
+
+auto peer_port::introduce(const std::vector<member>& peers) -> void
+{
+    membership_.merge(peers, timers_->now());
+}
+
+auto peer_port::announce(member_state state) -> void
+{
+    membership_.announce(state);
+    send(membership_.tick(timers_->now()));
+}
+
+auto peer_port::set_configuration(std::uint64_t version) -> void
+{
+    membership_.set_configuration(version, no_proof_ms);
+}
+
+auto peer_port::receive() -> void
+{
+    socket_.async_receive_from(boost::asio::buffer(input_), sender_,
+                               [this](const auto& failure, std::size_t count) {
+                                   if (failure == boost::asio::error::operation_aborted) {
+                                       return;
+                                   }
+                                   if (!failure) {
+                                       on_datagram(count);
+                                   }
+                                   receive();
+                               });
+}
+
+auto peer_port::on_datagram(std::size_t count) -> void
+{
+    auto reason = error{};
+    const auto message = codec_.open<peer_message>({input_.data(), count}, reason);
+    if (!message) {
+        log_line.warning("Datagram refused.", {{"reason", to_string(reason)}});
+        return;
+    }
+    send(membership_.receive(*message, timers_->now()));
+}
+
+auto peer_port::tick() -> void
+{
+    send(membership_.tick(timers_->now()));
+    timers_->at(timers_->now() + tick_interval, [this] { tick(); });
+}
+
+auto peer_port::send(const std::vector<outgoing>& messages) -> void
+{
+    for (const auto& message : messages) {
+        const auto end = udp::endpoint{boost::asio::ip::address_v4{message.to.ip}, message.to.port};
+        auto failure = boost::system::error_code{};
+        socket_.send_to(boost::asio::buffer(codec_.seal(message.message)), end, 0, failure);
+    }
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/net/target_connection.cpp
@@ -0,0 +1,230 @@
+#include "message_fields.hpp"
+
+#include <knapweedchute/core/log.hpp>
+#include <knapweedchute/net/target_connection.hpp>
+
+#include <boost/asio/write.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace knapweedchute {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+/// Largest answer of a target, bytes: well above any body that the pages tell of.
+constexpr auto largest_answer = std::uint64_t{16} * 1'024 * 1'024;
+constexpr auto status_wrong_target = 421U;
+constexpr auto first_final_status = 200U;
+
+} // namespace
+
+target_connection::target_connection(boost::asio::io_context& loop, const header_names& names,
+                                     idle_listener idle)
+    : socket_{loop}, names_{&names}, idle_{std::move(idle)}
+{
+}
+
+auto target_connection::open(const address& where, exchange_order order,
+                             exchange_port::listener done) -> void
+{
+    begin(std::move(order), std::move(done));
+    const auto end = tcp::endpoint{boost::asio::ip::address_v4{where.ip}, where.port};
+    socket_.async_connect(end, [self = shared_from_this()](const auto& failure) {
+        if (self->closed_) {
+            return;
+        }
+        if (failure) {
+            self->close(exchange_end::not_run);
+            return;
+        }
+        self->connected_ = true;
+        auto ignored = boost::system::error_code{};
+        self->socket_.set_option(tcp::no_delay{true}, ignored);
+        self->write();
+        self->read();
+    });
+}
+
+auto target_connection::exchange(exchange_order order, exchange_port::listener done) -> void
+{
+    begin(std::move(order), std::move(done));
+    write();
+}
+
+auto target_connection::begin(exchange_order order, exchange_port::listener done) -> void
+{
+    order_ = std::move(order);
+    done_ = std::move(done);
+    started_ = steady_clock::now();
+    written_ = false;
+    new_parser();
+}
+
+auto target_connection::new_parser() -> void
+{
+    parser_.emplace();
+    parser_->body_limit(largest_answer);
+    parser_->eager(true);
+    parser_->skip(!order_.body_expected);
+}
+
+auto target_connection::write() -> void
+{
+    boost::asio::async_write(socket_, boost::asio::buffer(order_.text),
+                             [self = shared_from_this()](const auto& failure, std::size_t) {
+                                 self->written_ = true;
+                                 if (failure && !self->closed_) {
+                                     self->on_end_of_stream(false);
+                                 }
+                             });
+}
+
+auto target_connection::read() -> void
+{
+    socket_.async_read_some(boost::asio::buffer(chunk_),
+                            [self = shared_from_this()](const auto& failure, std::size_t count) {
+                                self->on_read(failure, count);
+                            });
+}
+
+auto target_connection::on_read(const boost::system::error_code& failure, std::size_t count) -> void
+{
+    if (closed_) {
+        return;
+    }
+    if (failure) {
+        on_end_of_stream(failure == boost::asio::error::eof);
+        return;
+    }
+    if (!done_) {
+        // Bytes without a request belong to nobody.
+        close();
+        return;
+    }
+    const auto space = input_.prepare(count);
+    boost::asio::buffer_copy(space, boost::asio::buffer(chunk_, count));
+    input_.commit(count);
+    parse();
+    if (!closed_) {
+        read();
+    }
+}
+
+auto target_connection::parse() -> void
+{
+    while (!closed_ && done_ && input_.size() > 0) {
+        auto failure = boost::system::error_code{};
+        input_.consume(parser_->put(input_.data(), failure));
+        if (failure == http::error::need_more) {
+            return;
+        }
+        if (failure) {
+            close(exchange_end::broken);
+            return;
+        }
+        if (parser_->is_done()) {
+            on_answer();
+        }
+    }
+}
+
+auto target_connection::on_end_of_stream(bool clean) -> void
+{
+    if (done_ && clean && parser_->got_some()) {
+        auto failure = boost::system::error_code{};
+        parser_->put_eof(failure);
+        if (!failure && parser_->is_done()) {
+            reusable_ = false;
+            on_answer();
+        }
+    }
+    if (!closed_) {
+        close(exchange_end::broken);
+    }
+}
+
+auto target_connection::on_answer() -> void
+{
+    note_idle_limit();
+    auto message = parser_->release();
+    const auto status = message.result_int();
+    if (status < first_final_status) {
+        new_parser();
+        return;
+    }
+    const auto named = message.find(names_->request_id);
+    if (named != message.end() && !order_.request_id.empty() &&
+        named->value() != order_.request_id) {
+        // An answer to somebody else's request: the own one may still follow.
+        reusable_ = false;
+        new_parser();
+        return;
+    }
+    reusable_ = reusable_ && message.keep_alive() && written_ && input_.size() == 0;
+    auto result = exchange_result{};
+    result.end = exchange_end::answered;
+    if (message.find(names_->not_run) != message.end()) {
+        result.end = exchange_end::not_run;
+    }
+    if (status == status_wrong_target) {
+        result.end = exchange_end::wrong_target;
+    }
+    result.answer = {status, impl::passed_fields(message.base()), std::move(message.body())};
+    finish(std::move(result));
+}
+
+auto target_connection::note_idle_limit() -> void
+{
+    const auto field = parser_->get().find(http::field::keep_alive);
+    if (field == parser_->get().end()) {
+        return;
+    }
+    constexpr auto key = std::string_view{"timeout="};
+    const auto text = std::string{field->value()};
+    const auto begin = text.find(key);
+    auto limit = 0;
+    if (begin != std::string::npos) {
+        const auto* first = text.data() + begin + key.size();
+        if (std::from_chars(first, text.data() + text.size(), limit).ec == std::errc{}) {
+            idle_limit_ = seconds{limit};
+        }
+    }
+}
+
+auto target_connection::finish(exchange_result result) -> void
+{
+    idle_since_ = steady_clock::now();
+    result.elapsed = idle_since_ - started_;
+    result.kept_connection = served_ > 0;
+    served_ += 1;
+    const auto done = std::exchange(done_, nullptr);
+    if (!reusable_ && !closed_) {
+        close();
+    }
+    if (!closed_) {
+        idle_(shared_from_this());
+    }
+    done(std::move(result));
+}
+
+auto target_connection::close(exchange_end end) -> void
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    auto ignored = boost::system::error_code{};
+    socket_.close(ignored);
+    idle_(shared_from_this());
+    if (done_) {
+        auto result = exchange_result{};
+        result.end = connected_ ? end : exchange_end::not_run;
+        result.never_sent = !connected_;
+        finish(std::move(result));
+    }
+}
+
+} // namespace knapweedchute
--- a/src/query/query_coordinator.cpp
+++ b/src/query/query_coordinator.cpp
@@ -137,6 +137,7 @@
     }
     const auto done = release(attempt);
     const auto latency = now - done->started;
+    note_connection(key, answer, *done->target);
     table_.on_answer(*done->target, answer, latency, now);
     const auto delay = hedges_.delay();
     if (delay && latency < *delay) {
--- a/src/query/query_finish.cpp
+++ b/src/query/query_finish.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr auto slow_medians = std::int64_t{3};
+/// Connections to one target whose making is no evidence of a slow version. A version that keeps
+/// closing its connections is judged by the time that this costs.
+constexpr auto excused_connections = std::size_t{8};
 
 } // namespace
 
@@ -68,6 +71,16 @@
     actions.emplace_back(answer_query{key, std::move(answer)});
 }
 
+auto query_coordinator::note_connection(query_key key, const part_answer& answer,
+                                        target_state& target) -> void
+{
+    if (answer.opened_connection) {
+        target.connections_opened += 1;
+        auto& opened = queries_.at(key).opened_connection;
+        opened = opened || target.connections_opened <= excused_connections;
+    }
+}
+
 auto query_coordinator::tally(const impl::query_progress& progress, time_point now) -> void
 {
     if (progress.forwarded || !progress.sent) {
@@ -76,7 +89,8 @@
     auto& counts = tallies_[progress.version];
     const auto complete = progress.answered == progress.wanted;
     const auto usual = hedges_.latencies().usual_median();
-    const auto slow = usual != duration::zero() && now - progress.started > usual * slow_medians;
+    const auto slow = usual != duration::zero() && !progress.opened_connection &&
+                      now - progress.started > usual * slow_medians;
     counts.queries += 1;
     counts.incomplete += complete ? 0 : 1;
     counts.empty += complete && progress.hits.empty() ? 1 : 0;
--- /dev/null
+++ b/src/relay/http_field.cpp
@@ -0,0 +1,52 @@
+#include <knapweedchute/relay/http_field.hpp>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace knapweedchute {
+namespace {
+
+// RFC 9110, section 7.6.1, and the older names of the same purpose.
+constexpr auto connection_fields = std::array<std::string_view, 8>{
+    "connection", "keep-alive",        "proxy-connection", "te",
+    "trailer",    "transfer-encoding", "upgrade",          "expect"};
+
+} // namespace
+
+auto same_name(std::string_view left, std::string_view right) noexcept -> bool
+{
+    return left.size() == right.size() && boost::algorithm::iequals(left, right);
+}
+
+auto find_field(const field_list& fields, std::string_view name) noexcept -> const http_field*
+{
+    const auto found = std::find_if(fields.begin(), fields.end(),
+                                    [&](const auto& field) { return same_name(field.name, name); });
+    return found == fields.end() ? nullptr : &*found;
+}
+
+auto remove_connection_fields(field_list& fields) -> void
+{
+    auto named = std::vector<std::string>{};
+    for (const auto& field : fields) {
+        if (same_name(field.name, "connection")) {
+            auto tokens = std::vector<std::string>{};
+            boost::algorithm::split(tokens, field.value, [](char letter) { return letter == ','; });
+            named.insert(named.end(), tokens.begin(), tokens.end());
+        }
+    }
+    for (auto& token : named) {
+        boost::algorithm::trim(token);
+    }
+    std::erase_if(fields, [&](const auto& field) {
+        const auto same = [&](std::string_view name) { return same_name(field.name, name); };
+        return std::any_of(connection_fields.begin(), connection_fields.end(), same) ||
+               std::any_of(named.begin(), named.end(), same);
+    });
+}
+
+} // namespace knapweedchute
--- /dev/null
+++ b/src/relay/relay_coordinator.cpp
@@ -0,0 +1,443 @@
+#include <knapweedchute/core/log.hpp>
+#include <knapweedchute/relay/record_merge.hpp>
+#include <knapweedchute/relay/refusal_answer.hpp>
+#include <knapweedchute/relay/relay_coordinator.hpp>
+#include <knapweedchute/relay/request_encoder.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedchute {
+namespace {
+
+constexpr auto status_not_found = 404U;
+constexpr auto status_server_error = 500U;
+constexpr auto status_success = 200U;
+constexpr auto status_redirect = 300U;
+
+auto path_of(const std::string& target) -> std::string_view
+{
+    return std::string_view{target}.substr(0, target.find('?'));
+}
+
+auto is_success(const relayed_answer& answer) -> bool
+{
+    return answer.status >= status_success && answer.status < status_redirect;
+}
+
+} // namespace
+
+relay_coordinator::relay_coordinator(relay_policy policy, header_names names,
+                                     const std::string& own_zone, relay_parts parts,
+                                     std::uint64_t seed)
+    : policy_{policy}, names_{std::move(names)}, registry_{&parts.registry}, port_{&parts.port},
+      timers_{&parts.timers}, extras_{&parts.extras}, counters_{&parts.counters},
+      placing_{policy, own_zone, parts.registry, parts.port, seed}
+{
+}
+
+auto relay_coordinator::start(std::shared_ptr<const route_table> table, relayed_request request,
+                              responder respond) -> call_id
+{
+    counters_->add(counter::queries_received);
+    const auto* way = table ? table->find(request.host, path_of(request.target)) : nullptr;
+    if (way == nullptr) {
+        counters_->add(counter::queries_refused);
+        respond(table ? own_answer(status_not_found, "no route")
+                      : not_run_answer("no configuration yet", policy_.retry_after));
+        return 0;
+    }
+    auto started = std::make_shared<call>();
+    started->id = next_call_++;
+    started->way = way;
+    started->table = std::move(table);
+    started->request = std::move(request);
+    started->respond = std::move(respond);
+    started->started = timers_->now();
+    const auto asked = started->request.deadline.value_or(way->timeout);
+    started->deadline = started->started + std::min(asked, way->timeout) - policy_.answer_margin;
+    const auto services =
+        way->is_query() ? way->shards : std::vector<std::string>{split_.next(*way)};
+    for (const auto& service : services) {
+        started->parts.push_back({service, {}, {}, 0, false, false, false, {}, {}});
+        extras_->on_request(service, started->started);
+    }
+    calls_.emplace(started->id, started);
+    set_timers(started);
+    for (auto index = std::size_t{0}; index < started->parts.size(); ++index) {
+        dispatch(started, index);
+    }
+    finish_if_done(started);
+    return started->ended ? 0 : started->id;
+}
+
+auto relay_coordinator::leave(call_id id) -> void
+{
+    const auto known = calls_.find(id);
+    if (known == calls_.end()) {
+        return;
+    }
+    const auto left = known->second;
+    left->ended = true;
+    counters_->add(counter::parts_cancelled);
+    release(*left, true);
+}
+
+auto relay_coordinator::retry_waiting() -> void
+{
+    auto waiting = std::exchange(waiting_, {});
+    for (const auto& [priority, deadline, id, index] : waiting) {
+        const auto known = calls_.find(id);
+        if (known == calls_.end()) {
+            continue;
+        }
+        const auto of = known->second;
+        of->parts[index].waiting = false;
+        if (!of->ended && !of->parts[index].done()) {
+            dispatch(of, index);
+            finish_if_done(of);
+        }
+    }
+}
+
+auto relay_coordinator::set_timers(const shared_call& of) -> void
+{
+    const auto weak = std::weak_ptr{of};
+    const auto later = [&](time_point when, auto member) {
+        return timers_->at(when, [this, weak, member] {
+            if (const auto alive = weak.lock(); alive && !alive->ended) {
+                (this->*member)(alive);
+            }
+        });
+    };
+    of->deadline_timer = later(of->deadline, &relay_coordinator::on_deadline);
+    if (of->way->idempotent) {
+        of->straggler_timer = later(of->started + pace_.straggling_after(*of->way),
+                                    &relay_coordinator::hedge_stragglers);
+    }
+    const auto goal = of->started + of->way->latency_goal - policy_.goal_margin;
+    if (of->way->is_query() && goal < of->deadline) {
+        of->goal_timer = later(goal, &relay_coordinator::on_goal);
+    }
+}
+
+auto relay_coordinator::dispatch(const shared_call& of, std::size_t index) -> void
+{
+    auto& wanted = of->parts[index];
+    const auto now = timers_->now();
+    if (of->deadline - now < policy_.least_useful) {
+        return;
+    }
+    const auto where = placing_.choose(wanted.service, wanted.tried, now);
+    if (where.target) {
+        send(of, index, where);
+        return;
+    }
+    if (!wanted.live.empty()) {
+        return;
+    }
+    if (where.only_full) {
+        wait_for_room(of, index);
+        return;
+    }
+    wanted.failed = true;
+}
+
+auto relay_coordinator::wait_for_room(const shared_call& of, std::size_t index) -> void
+{
+    of->parts[index].waiting = true;
+    waiting_.emplace(of->way->priority, of->deadline, of->id, index);
+}
+
+auto relay_coordinator::send(const shared_call& of, std::size_t index, const placement& where)
+    -> void
+{
+    auto& sent = of->parts[index];
+    const auto now = timers_->now();
+    const auto left = std::chrono::duration_cast<milliseconds>(of->deadline - now);
+    auto order =
+        exchange_order{where.target, encode_request(of->request, names_, *where.target, left),
+                       of->request.id, of->request.method != "HEAD", of->way->idempotent};
+    sent.tried.push_back(where.target->id);
+    placing_.load(where.target->id).on_send(now, pace_.usual(*of->way));
+    counters_->add(counter::parts_sent);
+    // The id is known only after the call, the listener runs only after it.
+    auto id = std::make_shared<exchange_id>(0);
+    *id = port_->send(std::move(order),
+                      [this, of, index, now, id, target = where.target](exchange_result result) {
+                          on_end(of, index, now, *id, target, std::move(result));
+                      });
+    sent.live.emplace(*id, now);
+}
+
+auto relay_coordinator::is_useful(const exchange_result& result) const -> bool
+{
+    return result.end == exchange_end::answered && is_success(result.answer) &&
+           find_field(result.answer.fields, names_.proof) != nullptr;
+}
+
+auto relay_coordinator::on_end(const shared_call& of, std::size_t index, time_point sent,
+                               exchange_id exchange,
+                               const std::shared_ptr<const target_record>& target,
+                               exchange_result result) -> void
+{
+    const auto now = timers_->now();
+    const auto useful = is_useful(result);
+    const auto usual = pace_.usual(*of->way);
+    const auto given_up = of->ended && result.end == exchange_end::unknown;
+    const auto stale_connection = result.end == exchange_end::broken && result.kept_connection;
+    placing_.load(target->id).on_end(sent, now, usual, !useful && !given_up && !stale_connection);
+    if (useful) {
+        pace_.on_answer(*of->way, now - sent);
+    }
+    if (result.end == exchange_end::wrong_target) {
+        registry_->disown(target->id, target->born_unix_ms);
+    }
+    auto& ended = of->parts[index];
+    ended.live.erase(exchange);
+    if (!of->ended && !ended.done()) {
+        ended.may_have_run = ended.may_have_run || !provably_not_run(result.end);
+        if (useful) {
+            ended.answer = std::move(result.answer);
+        } else {
+            on_failure(of, index, result);
+        }
+        finish_if_done(of);
+    }
+    if (!waiting_.empty()) {
+        retry_waiting();
+    }
+}
+
+auto relay_coordinator::on_failure(const shared_call& of, std::size_t index,
+                                   const exchange_result& result) -> void
+{
+    auto& failed = of->parts[index];
+    counters_->add(counter::parts_failed);
+    if (result.end == exchange_end::answered) {
+        failed.failure = result.answer;
+    }
+    if (result.never_sent) {
+        failed.unsent += 1;
+    }
+    if (may_retry(*of, failed, result)) {
+        counters_->add(counter::parts_retried);
+        dispatch(of, index);
+    }
+    failed.failed = failed.failed || (failed.live.empty() && !failed.waiting);
+}
+
+auto relay_coordinator::may_retry(const call& of, const part& failed, const exchange_result& result)
+    -> bool
+{
+    const auto told_final = result.end == exchange_end::answered &&
+                            result.answer.status < status_server_error &&
+                            !is_success(result.answer);
+    const auto repeatable = of.way->idempotent || provably_not_run(result.end);
+    if (told_final || !repeatable) {
+        return false;
+    }
+    if (result.never_sent) {
+        return failed.unsent < policy_.most_unsent;
+    }
+    return failed.tried.size() - failed.unsent < of.way->most_targets &&
+           extras_->take(failed.service, timers_->now());
+}
+
+auto relay_coordinator::hedge_stragglers(const shared_call& of) -> void
+{
+    const auto usual = pace_.usual(*of->way);
+    of->straggler_timer = 0;
+    // More than half of the goal: slowness is general, more requests would only add to it.
+    if (usual * 2 > of->way->latency_goal) {
+        return;
+    }
+    for (auto index = std::size_t{0}; index < of->parts.size(); ++index) {
+        hedge(of, index);
+    }
+    of->straggler_checks += 1;
+    if (of->straggler_checks < policy_.straggler_checks) {
+        const auto weak = std::weak_ptr{of};
+        of->straggler_timer = timers_->at(timers_->now() + usual, [this, weak] {
+            if (const auto alive = weak.lock(); alive && !alive->ended) {
+                hedge_stragglers(alive);
+            }
+        });
+    }
+}
+
+auto relay_coordinator::hedge(const shared_call& of, std::size_t index) -> void
+{
+    auto& slow = of->parts[index];
+    if (slow.done() || slow.live.size() != 1 ||
+        slow.tried.size() - slow.unsent >= of->way->most_targets) {
+        return;
+    }
+    const auto now = timers_->now();
+    const auto where = placing_.choose(slow.service, slow.tried, now);
+    const auto behind = placing_.load(slow.tried.back()).cost(now);
+    if (!where.target || where.cost >= behind || !extras_->take(slow.service, now)) {
+        return;
+    }
+    counters_->add(counter::parts_hedged);
+    send(of, index, where);
+}
+
+auto relay_coordinator::on_goal(const shared_call& of) -> void
+{
+    of->goal_timer = 0;
+    of->past_goal = true;
+    finish_if_done(of);
+}
+
+auto relay_coordinator::on_deadline(const shared_call& of) -> void
+{
+    of->deadline_timer = 0;
+    if (of->way->is_query()) {
+        finish_query(of, true);
+    } else {
+        finish_relay(of, true);
+    }
+}
+
+auto relay_coordinator::finish_if_done(const shared_call& of) -> void
+{
+    if (of->ended) {
+        return;
+    }
+    const auto count = [&](auto test) {
+        return static_cast<double>(std::count_if(of->parts.begin(), of->parts.end(), test));
+    };
+    const auto total = static_cast<double>(of->parts.size());
+    const auto answered = count([](const part& one) { return one.answer.has_value(); });
+    const auto failed = count([](const part& one) { return one.failed; });
+    const auto all_done = answered + failed == total;
+    if (!of->way->is_query()) {
+        if (all_done) {
+            finish_relay(of, false);
+        }
+        return;
+    }
+    constexpr auto rounding = 1e-9;
+    const auto least = of->way->least_coverage * total - rounding;
+    const auto enough = answered > 0 && answered >= least;
+    const auto hopeless = total - failed < least;
+    if (all_done || hopeless || (of->past_goal && enough)) {
+        finish_query(of, false);
+    }
+}
+
+auto relay_coordinator::finish_query(const shared_call& of, bool timed_out) -> void
+{
+    const auto answered =
+        static_cast<double>(std::count_if(of->parts.begin(), of->parts.end(),
+                                          [](const part& one) { return one.answer.has_value(); }));
+    constexpr auto rounding = 1e-9;
+    const auto total = static_cast<double>(of->parts.size());
+    if (answered == 0 || answered < of->way->least_coverage * total - rounding) {
+        end(of, failure_of(*of, timed_out));
+        return;
+    }
+    counters_->add(answered < total ? counter::queries_partial : counter::queries_answered);
+    end(of, merge(*of));
+}
+
+auto relay_coordinator::finish_relay(const shared_call& of, bool timed_out) -> void
+{
+    auto& only = of->parts.front();
+    if (only.answer) {
+        counters_->add(counter::queries_answered);
+        end(of, std::move(*only.answer));
+        return;
+    }
+    if (only.failure) {
+        counters_->add(counter::queries_refused);
+        end(of, std::move(*only.failure));
+        return;
+    }
+    end(of, failure_of(*of, timed_out));
+}
+
+auto relay_coordinator::merge(call& of) const -> relayed_answer
+{
+    auto bodies = std::vector<std::string>{};
+    auto proofs = std::string{};
+    auto missing = std::size_t{0};
+    for (auto& one : of.parts) {
+        if (!one.answer) {
+            missing += 1;
+            continue;
+        }
+        proofs +=
+            (proofs.empty() ? "" : ", ") + find_field(one.answer->fields, names_.proof)->value;
+        bodies.push_back(std::move(one.answer->body));
+    }
+    return {status_success,
+            {{names_.request_id, of.request.id},
+             {names_.proofs, std::move(proofs)},
+             {names_.missing, std::to_string(missing)}},
+            merge_records(bodies, of.way->top)};
+}
+
+auto relay_coordinator::failure_of(const call& of, bool timed_out) const -> relayed_answer
+{
+    constexpr auto bad_gateway = 502U;
+    constexpr auto gateway_timeout = 504U;
+    const auto may_have_run = std::any_of(of.parts.begin(), of.parts.end(), [](const part& one) {
+        return one.may_have_run || !one.live.empty() || one.answer;
+    });
+    counters_->add(counter::queries_refused);
+    if (!may_have_run) {
+        return not_run_answer("no target can take the request", policy_.retry_after);
+    }
+    return timed_out ? own_answer(gateway_timeout, "not answered in time")
+                     : own_answer(bad_gateway, "targets failed");
+}
+
+auto relay_coordinator::end(const shared_call& of, relayed_answer answer) -> void
+{
+    static const auto log_line = logger{"relay"};
+    of->ended = true;
+    if (answer.status >= status_server_error) {
+        const auto took = timers_->now() - of->started;
+        log_line.warning(
+            "Request failed.",
+            {{"request", of->request.id},
+             {"route", of->way->name},
+             {"status", std::to_string(answer.status)},
+             {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(took).count())},
+             {"version", std::to_string(of->table->version())}});
+    }
+    release(*of, false);
+    const auto respond = std::move(of->respond);
+    respond(std::move(answer));
+}
+
+auto relay_coordinator::release(call& of, bool at_once) -> void
+{
+    for (const auto timer : {of.straggler_timer, of.goal_timer, of.deadline_timer}) {
+        timers_->cancel(timer);
+    }
+    auto live = std::vector<exchange_id>{};
+    for (auto index = std::size_t{0}; index < of.parts.size(); ++index) {
+        for (const auto& [exchange, sent] : of.parts[index].live) {
+            live.push_back(exchange);
+        }
+        if (of.parts[index].waiting) {
+            waiting_.erase({of.way->priority, of.deadline, of.id, index});
+        }
+    }
+    calls_.erase(of.id);
+    const auto cancel = [port = port_, live] {
+        for (const auto exchange : live) {
+            port->cancel(exchange);
+        }
+    };
+    if (at_once) {
+        cancel();
+    } else if (!live.empty()) {
+        timers_->at(timers_->now() + policy_.linger, cancel);
+    }
+}
+
+} // namespace knapweedchute
--- a/src/runtime/move_agent.cpp
+++ b/src/runtime/move_agent.cpp
@@ -1,9 +1,34 @@
 #include <knapweedchute/config/object_reader.hpp>
+#include <knapweedchute/core/log.hpp>
 #include <knapweedchute/runtime/move_agent.hpp>
 
 #include <utility>
 
 namespace knapweedchute {
+namespace {
+
+const auto log_line = logger{"move"};
+
+auto counts_text(const version_tally& counts) -> std::string
+{
+    return nlohmann::json{{"queries", counts.queries},
+                          {"incomplete", counts.incomplete},
+                          {"empty", counts.empty},
+                          {"slow", counts.slow}}
+        .dump();
+}
+
+auto log_verdict(const service_spec& service, move_fault fault, const version_tally& old_version,
+                 const version_tally& new_version) -> void
+{
+    log_line.warning("Version stopped.", {{"service", service.name},
+                                          {"version", service.move->to},
+                                          {"fault", std::string{to_string(fault)}},
+                                          {"old", counts_text(old_version)},
+                                          {"new", counts_text(new_version)}});
+}
+
+} // namespace
 
 auto report_key(move_key move) -> std::string
 {
@@ -114,6 +139,9 @@
         const auto [old_version, new_version] = evidence_.total(key);
         decision = decide_move(*service.move, {old_version, new_version, evidence_.latched(key),
                                                evidence_.recorded(key), unix_s});
+        if (decision.fault != evidence_.latched(key)) {
+            log_verdict(service, decision.fault, old_version, new_version);
+        }
         evidence_.latch(key, decision.fault);
         decisions_[service.name] = decision;
         if (decision.wanted != move_result::running) {
--- a/src/runtime/service_lane.cpp
+++ b/src/runtime/service_lane.cpp
@@ -251,6 +251,9 @@
     if (whole && !answer) {
         counters_->add(counter::answers_rejected);
     }
+    if (answer) {
+        answer->opened_connection = !result.reused_connection;
+    }
     const auto failure = whole ? attempt_failure::broken : failure_of(result);
     decide([&](auto& coordinator) {
         const auto now = steady_clock::now();
--- a/src/platform/http_key_value_store.cpp
+++ b/src/store/http_key_value_store.cpp
@@ -1,5 +1,5 @@
 #include <knapweedchute/config/object_reader.hpp>
-#include <knapweedchute/platform/http_key_value_store.hpp>
+#include <knapweedchute/store/http_key_value_store.hpp>
 
 #include <utility>
 
--- a/tests/support/memory_store.hpp
+++ b/tests/support/memory_store.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <knapweedchute/platform/key_value_store.hpp>
+#include <knapweedchute/store/key_value_store.hpp>
 
 #include <functional>
 #include <map>
--- a/tests/unit/query_coordinator_test.cpp
+++ b/tests/unit/query_coordinator_test.cpp
@@ -337,4 +337,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(tally_slow_on_first_connections_counts_nothing)
+{
+    load(200, milliseconds{2});
+    const auto before = driver.coordinator(0).tallies().begin()->second;
+    for (auto& [address, fake] : driver.targets()) {
+        fake.latency = milliseconds{20};
+    }
+    driver.distort = [](part_answer& answer) { answer.opened_connection = true; };
+    load(6, milliseconds{30});
+    const auto after = driver.coordinator(0).tallies().begin()->second;
+    BOOST_TEST(after.queries == before.queries + 6);
+    BOOST_TEST(after.slow == before.slow);
+}
+
+BOOST_AUTO_TEST_CASE(tally_slow_on_every_connection_counts)
+{
+    load(200, milliseconds{2});
+    const auto before = driver.coordinator(0).tallies().begin()->second;
+    for (auto& [address, fake] : driver.targets()) {
+        fake.latency = milliseconds{20};
+    }
+    driver.distort = [](part_answer& answer) { answer.opened_connection = true; };
+    load(40, milliseconds{30});
+    const auto after = driver.coordinator(0).tallies().begin()->second;
+    BOOST_TEST(after.slow >= before.slow + 10);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
