--- a/include/knapweedchute/move/evidence_row.hpp
+++ b/include/knapweedchute/move/evidence_row.hpp
@@ -32,7 +32,7 @@
 template <typename Archive>
 auto serialize(Archive& archive, version_tally& value) -> void
 {
-    archive(value.queries, value.incomplete, value.empty, value.slow);
+    archive(value.queries, value.incomplete, value.empty, value.slow, value.intervals);
 }
 
 template <typename Archive>
--- a/include/knapweedchute/query/query_coordinator.hpp
+++ b/include/knapweedchute/query/query_coordinator.hpp
@@ -148,6 +148,7 @@
         -> void;
     [[nodiscard]] auto attempt_limit() const -> duration;
     auto note_connection(query_key key, const part_answer& answer, target_state& target) -> void;
+    auto count_interval(const std::string& version, bool slow, time_point now) -> void;
     auto tally(const impl::query_progress& progress, time_point now) -> void;
 
     target_table table_;
@@ -166,6 +167,7 @@
     std::size_t waiting_count_ = 0;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
     std::map<std::string, version_tally> tallies_;
+    std::map<std::string, impl::observed_intervals> intervals_;
 };
 
 } // namespace knapweedchute
--- a/src/query/query_coordinator.cpp
+++ b/src/query/query_coordinator.cpp
@@ -20,6 +20,7 @@
     const auto same_move = service_.move == view.service.move;
     if (!same_move) {
         tallies_.clear();
+        intervals_.clear();
         new_version_share_permil_ = 0;
     }
     service_ = view.service;
--- a/src/runtime/move_agent.cpp
+++ b/src/runtime/move_agent.cpp
@@ -14,7 +14,8 @@
     return nlohmann::json{{"queries", counts.queries},
                           {"incomplete", counts.incomplete},
                           {"empty", counts.empty},
-                          {"slow", counts.slow}}
+                          {"slow", counts.slow},
+                          {"intervals", counts.intervals}}
         .dump();
 }
 
--- a/src/runtime/service_lane.cpp
+++ b/src/runtime/service_lane.cpp
@@ -150,7 +150,8 @@
         versions[name] = {{"queries", counts.queries},
                           {"incomplete", counts.incomplete},
                           {"empty", counts.empty},
-                          {"slow", counts.slow}};
+                          {"slow", counts.slow},
+                          {"intervals", counts.intervals}};
     }
     const auto& latencies = coordinator_.hedges().latencies();
     const auto median = std::chrono::duration_cast<microseconds>(latencies.median());
--- /dev/null
+++ b/tests/unit/platform/codec_test.cpp
@@ -0,0 +1,101 @@
+#include "config_codec.hpp"
+#include "member_codec.hpp"
+#include "store_client.hpp"
+#include "target_codec.hpp"
+
+#include <knapweedchute/entry/entry_settings_reader.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace knapweedchute;
+
+BOOST_AUTO_TEST_SUITE(platform_codec_suite)
+
+BOOST_AUTO_TEST_CASE(config_whole_is_decoded)
+{
+    auto reason = error{};
+    const auto table = platform::decode_config(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","routeType":"idempotent",
+            "timeoutMs":1000,"targetLatencyMs":60,"priority":2,"gather":["a","b"],
+            "maxAttempts":2,"topK":5,"minCoverage":0.75},
+            {"name":"w","host":"h","prefix":"/w/","routeType":"non_idempotent","timeoutMs":100,
+            "trafficSplit":[{"service":"a","weight":3},{"service":"b","weight":1}]}],
+            "services":[{"name":"a","maxConnections":26,"coldPerS":0.0}],
+            "limits":{"maxHeaderBytes":1000,"idleTimeoutMs":15000}})",
+        reason);
+    BOOST_REQUIRE(table);
+    const auto* query = table->find("h", "/p/x");
+    BOOST_TEST(query->idempotent);
+    BOOST_TEST(query->shards.size() == 2U);
+    BOOST_TEST(query->least_coverage == 0.75);
+    const auto* split = table->find("h", "/w/x");
+    BOOST_TEST(!split->idempotent);
+    BOOST_TEST(split->split.front().weight == 3.0);
+    BOOST_TEST(split->most_targets == 1U);
+    BOOST_TEST(table->rules("a").connections == 26);
+    BOOST_TEST(table->limits().header_bytes == 1'000U);
+}
+
+BOOST_AUTO_TEST_CASE(config_with_a_fault_names_its_place)
+{
+    auto reason = error{};
+    const auto table = platform::decode_config(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","routeType":"idempotent",
+            "timeoutMs":"soon","service":"a"}]})",
+        reason);
+    BOOST_TEST(!table);
+    BOOST_TEST(reason.where == "/routes/0/timeoutMs");
+}
+
+BOOST_AUTO_TEST_CASE(target_unreadable_entries_name_no_target)
+{
+    const auto good =
+        std::string{R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,)"
+                    R"("state":"ready","coldRemainingMs":0,"sequence":4,"born":12})"};
+    auto reason = error{};
+    const auto record = platform::decode_target("i-1", good, reason);
+    BOOST_REQUIRE(record);
+    BOOST_TEST(record->born_unix_ms == 12);
+    for (
+        const auto* bad :
+        {"", "\xff\xfe", "[]", "{}", R"({"service":1})",
+         R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,"state":"odd","coldRemainingMs":0})",
+         R"({"service":"s","address":"nowhere","zone":"a","version":"v1","slots":2,"state":"ready","coldRemainingMs":0})"}) {
+        BOOST_TEST(!platform::decode_target("i-1", bad, reason).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(member_text_is_read_back_as_not_yet_alive)
+{
+    const auto self = member{"i1", "a", {1, 2}, {3, 4}, {5, 6}, 77, member_state::alive};
+    auto reason = error{};
+    const auto read = platform::decode_member("i1", platform::encode_member(self), reason);
+    BOOST_REQUIRE(read);
+    BOOST_TEST((read->peer_address == self.peer_address));
+    BOOST_TEST((read->state == member_state::joining));
+    BOOST_TEST(read->incarnation == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(value_bad_base64_is_empty)
+{
+    BOOST_TEST(platform::decode_value("bm9kZS0x") == "node-1");
+    BOOST_TEST(platform::decode_value("bm9kZQ==") == "node");
+    BOOST_TEST(platform::decode_value("???").empty());
+    BOOST_TEST(platform::decode_value("").empty());
+}
+
+BOOST_AUTO_TEST_CASE(settings_missing_or_wrong_fields_are_named)
+{
+    auto reader = entry_settings_reader{};
+    BOOST_TEST(!reader.read("{").has_value());
+    BOOST_TEST(!reader.read(R"({"instance":"i","seeds":["x"],"extra_ratio":7})").has_value());
+    const auto named = [&](const std::string& where) {
+        return std::any_of(reader.faults().begin(), reader.faults().end(),
+                           [&](const auto& fault) { return fault.where == where; });
+    };
+    BOOST_TEST(named("/store_address"));
+    BOOST_TEST(named("/seeds/0"));
+    BOOST_TEST(named("/extra_ratio"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
