A stopping process ends within the grace and answers what it gives up

The logging library's shutdown waits for idle threads. Ruled out: the loop (it had ended), requests in progress (0). Change: the process ends without that shutdown; what is in progress at the last moment gets an answer instead of a cut; the first look at what is left comes 0.8 s before the end. Test: relay_given_up_at_a_stop_is_answered_truly.

--- a/daemons/knapweedchute_entryd.cpp
+++ b/daemons/knapweedchute_entryd.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -79,7 +80,9 @@
     auto signals = boost::asio::signal_set{instance.loop(), SIGTERM, SIGINT, SIGHUP};
     handle_signals(signals, instance, path);
     instance.run();
-    return exit_success;
+    // Nothing is left to save, and the logging library's shutdown waits for its idle threads,
+    // longer than the platform's grace lasts on a small machine.
+    std::quick_exit(exit_success);
 }
 
 } // namespace
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -56,6 +56,9 @@
     /// \brief The caller has left: ends all its work at once, without an answer.
     auto leave(call_id call) -> void;
 
+    /// \brief Ends every request in progress with an answer that is true now.
+    auto give_up_all() -> void;
+
     /// \brief Tries again the parts that wait for targets or connections.
     auto retry_waiting() -> void;
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -17,6 +17,10 @@
 constexpr auto divided_part = 0.95;
 /// Kept free before the platform kills the process.
 constexpr auto stop_margin = milliseconds{700};
+/// Kept free before that for what is in progress when the last callers should be gone.
+constexpr auto finish_time = milliseconds{800};
+/// Callers keep an address answer for up to three lifetimes, and peers name it a little longer.
+constexpr auto address_lifetimes_kept = 4;
 constexpr auto stop_poll = milliseconds{20};
 constexpr auto status_ok = 200U;
 const auto log_line = logger{"entry"};
@@ -88,9 +92,8 @@
     peers_.announce(member_state::leaving);
     callers_.close_after_answers();
     const auto last = timers_.now() + settings_.stop_grace - stop_margin;
-    // Callers keep an address answer for up to three lifetimes.
-    const auto let_go = timers_.now() + settings_.address_lifetime * 4;
-    timers_.at(std::min(let_go, last), [this, last] { finish_stop(last); });
+    const auto let_go = timers_.now() + settings_.address_lifetime * address_lifetimes_kept;
+    timers_.at(std::min(let_go, last - finish_time), [this, last] { finish_stop(last); });
 }
 
 auto entry_instance::finish_stop(time_point last) -> void
@@ -102,6 +105,7 @@
     }
     peers_.announce(member_state::left);
     log_line.info("Stopped.", {{"in_progress", std::to_string(coordinator_.in_progress())}});
+    coordinator_.give_up_all();
     timers_.at(timers_.now() + stop_poll, [this] { loop_.stop(); });
 }
 
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -83,6 +83,21 @@
     release(*left, true);
 }
 
+auto relay_coordinator::give_up_all() -> void
+{
+    auto open = std::vector<shared_call>{};
+    for (const auto& [id, one] : calls_) {
+        open.push_back(one);
+    }
+    for (const auto& one : open) {
+        if (one->way->is_query()) {
+            finish_query(one, false);
+        } else {
+            finish_relay(one, false);
+        }
+    }
+}
+
 auto relay_coordinator::retry_waiting() -> void
 {
     auto waiting = std::exchange(waiting_, {});
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -338,6 +338,21 @@
     BOOST_TEST(only_answer().status == 503U);
 }
 
+BOOST_AUTO_TEST_CASE(relay_given_up_at_a_stop_is_answered_truly)
+{
+    port.answer = [](const auto&) { return fake_reply{duration{-1}, {}}; };
+    ask("/one/x");
+    port.full = {"one-x", "one-y"};
+    ask("/one/y");
+    coordinator.give_up_all();
+    BOOST_REQUIRE(answers.size() == 2U);
+    std::sort(answers.begin(), answers.end(),
+              [](const auto& left, const auto& right) { return left.status < right.status; });
+    BOOST_TEST(answers[0].status == 502U);
+    BOOST_TEST(answers[1].status == 503U);
+    BOOST_TEST(coordinator.in_progress() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(relay_unknown_route_is_not_found)
 {
     ask("/elsewhere/x");
