Losers of a hedge are cancelled at once; hedges after 1.5 times the usual time

Change: the other exchange of an answered part, and all of an answered query, end at once; hedges from 1.5 instead of 2 times the usual time.

--- a/include/knapweedchute/relay/relay_policy.hpp
+++ b/include/knapweedchute/relay/relay_policy.hpp
@@ -15,7 +15,7 @@
     duration goal_margin = milliseconds{14};
     /// How long an exchange whose answer is no longer needed may go on, so that its connection
     /// is kept: a pause of a target is over by then.
-    duration linger = milliseconds{300};
+    duration linger = milliseconds{0};
     /// Least time left for which a target is asked at all.
     duration least_useful = milliseconds{4};
     /// Sends that never left this instance before a part is given up.
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -214,6 +214,9 @@
         ended.may_have_run = ended.may_have_run || !provably_not_run(result.end);
         if (useful) {
             ended.answer = std::move(result.answer);
+            for (const auto& [other, since] : ended.live) {
+                port_->cancel(other);
+            }
         } else {
             on_failure(of, index, result);
         }
--- a/src/relay/route_pace.cpp
+++ b/src/relay/route_pace.cpp
@@ -12,7 +12,7 @@
 /// Bound of one observation as a multiple of the usual time: stragglers do not set the pace.
 constexpr auto largest_multiple = 3;
 /// Multiple of the usual time after which a request straggles.
-constexpr auto straggling_multiple = 2;
+constexpr auto straggling_multiple = 1.5;
 
 } // namespace
 
@@ -31,7 +31,7 @@
 
 auto route_pace::straggling_after(const route& of) const -> duration
 {
-    return usual(of) * straggling_multiple;
+    return std::chrono::duration_cast<duration>(usual(of) * straggling_multiple);
 }
 
 } // namespace knapweedchute
