Changes are told through peers: three readers of the store per zone, all others follow one

Change: the feed moves out of platform/ into the product (cache, choice of source, keeper, handler, peer source); platform/ keeps the store's protocol and the meaning of keys. First reads may be old for all keys but the operator's.

--- a/daemons/knapweedchute_entryd.cpp
+++ b/daemons/knapweedchute_entryd.cpp
@@ -1,7 +1,7 @@
 // knapweedchute-entryd: relays callers' requests to targets; every entry instance runs one.
-#include "member_codec.hpp"
 #include "names.hpp"
-#include "store_feed.hpp"
+#include "store_client.hpp"
+#include "view_feed.hpp"
 
 #include <knapweedchute/core/log.hpp>
 #include <knapweedchute/entry/entry_instance.hpp>
@@ -74,9 +74,10 @@
         std::cerr << "knapweedchute-entryd: " << to_string(reason) << '\n';
         return exit_not_started;
     }
-    auto feed = platform::store_feed{instance.loop(), instance.timers(), values.store_address,
-                                     instance.view(), instance.peers(),  instance.peers().self()};
-    feed.start();
+    auto store = platform::store_client{instance.loop(), instance.timers(), values.store_address};
+    auto listener = platform::view_feed{instance.timers(), store, instance.view(), instance.peers(),
+                                        instance.peers().self()};
+    instance.follow(store, listener, std::string{platform::operator_prefix});
     auto signals = boost::asio::signal_set{instance.loop(), SIGTERM, SIGINT, SIGHUP};
     handle_signals(signals, instance, path);
     instance.run();
--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -6,6 +6,9 @@
 #include <knapweedchute/entry/entry_settings.hpp>
 #include <knapweedchute/entry/fixed_handler.hpp>
 #include <knapweedchute/entry/relay_handler.hpp>
+#include <knapweedchute/feed/feed_handler.hpp>
+#include <knapweedchute/feed/feed_keeper.hpp>
+#include <knapweedchute/feed/peer_feed_source.hpp>
 #include <knapweedchute/membership/address_choice.hpp>
 #include <knapweedchute/net/asio_timer_queue.hpp>
 #include <knapweedchute/net/caller_listener.hpp>
@@ -16,6 +19,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
 
 namespace knapweedchute {
 
@@ -31,6 +38,12 @@
     /// \brief Opens the addresses.
     [[nodiscard]] auto start(error& reason) -> bool;
 
+    /// \brief Starts to follow the keys of the platform's store.
+    /// \param store        The store.
+    /// \param listener     Told what the keys hold.
+    /// \param fresh_prefix Keys of which no old state will do.
+    auto follow(feed_source& store, feed_listener& listener, std::string fresh_prefix) -> void;
+
     /// \brief Serves until `stop` has come to its end.
     auto run() -> void { loop_.run(); }
 
@@ -46,6 +59,7 @@
     auto keep_house() -> void;
     auto count_members() -> void;
     auto finish_stop(time_point last) -> void;
+    [[nodiscard]] auto peer_feed(const member& peer) -> feed_source&;
     [[nodiscard]] auto connection_share(const target_record& target) const -> std::size_t;
     [[nodiscard]] auto answer_readiness() const -> relayed_answer;
     [[nodiscard]] auto answer_addresses() -> relayed_answer;
@@ -71,6 +85,10 @@
     caller_listener readiness_listener_;
     caller_listener directory_listener_;
     caller_listener admin_listener_;
+    feed_handler feed_;
+    caller_listener feed_listener_;
+    std::map<address, std::unique_ptr<peer_feed_source>> peer_feeds_;
+    std::optional<feed_keeper> keeper_;
     std::size_t instances_ = 1;
     time_point instances_noted_;
     bool stopping_ = false;
--- /dev/null
+++ b/include/knapweedchute/feed/feed_handler.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <knapweedchute/feed/feed_keeper.hpp>
+#include <knapweedchute/net/request_handler.hpp>
+#include <knapweedchute/wire/envelope.hpp>
+
+#include <cstdint>
+#include <map>
+
+namespace knapweedchute {
+
+/// \brief Tells peers the keys and their changes, while this instance reads the store itself.
+class feed_handler final : public request_handler
+{
+public:
+    feed_handler(timer_queue& timers, envelope codec);
+
+    /// \brief Sets the copy that is told from.
+    auto tell_from(feed_keeper& keeper) -> void;
+
+    auto handle(relayed_request request, responder respond) -> std::uint64_t override;
+    auto leave(std::uint64_t request) -> void override;
+    [[nodiscard]] auto limits() const -> caller_limits override { return {}; }
+
+private:
+    struct waiting_peer
+    {
+        std::uint64_t after = 0;
+        responder respond;
+        timer_id timer = 0;
+    };
+
+    auto wait_for_changes(const std::string& query, responder respond) -> std::uint64_t;
+    auto tell_waiting() -> void;
+    auto tell(std::uint64_t id, bool even_if_empty) -> void;
+    [[nodiscard]] auto encode(const feed_page& page) const -> relayed_answer;
+
+    timer_queue* timers_;
+    envelope codec_;
+    feed_keeper* keeper_ = nullptr;
+    std::map<std::uint64_t, waiting_peer> waiting_;
+    std::uint64_t next_ = 1;
+};
+
+} // namespace knapweedchute
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -62,9 +62,9 @@
       callers_{loop_, relay_, timers_, names_.headers}, readiness_listener_{loop_, readiness_,
                                                                             timers_,
                                                                             names_.headers},
-      directory_listener_{loop_, directory_, timers_, names_.headers}, admin_listener_{
-                                                                           loop_, admin_, timers_,
-                                                                           names_.headers}
+      directory_listener_{loop_, directory_, timers_, names_.headers},
+      admin_listener_{loop_, admin_, timers_, names_.headers}, feed_{timers_, codec_of(values)},
+      feed_listener_{loop_, feed_, timers_, names_.headers}
 {
 }
 
@@ -73,7 +73,8 @@
     const auto open = callers_.open(settings_.caller_address, reason) &&
                       readiness_listener_.open(settings_.readiness_address, reason) &&
                       directory_listener_.open(settings_.directory_address, reason) &&
-                      admin_listener_.open(settings_.admin_address, reason) && peers_.open(reason);
+                      admin_listener_.open(settings_.admin_address, reason) &&
+                      feed_listener_.open(settings_.peer_address, reason) && peers_.open(reason);
     if (!open) {
         return false;
     }
@@ -83,6 +84,26 @@
     return true;
 }
 
+auto entry_instance::follow(feed_source& store, feed_listener& listener, std::string fresh_prefix)
+    -> void
+{
+    keeper_.emplace(
+        timers_, store, [this](const auto& peer) -> feed_source& { return peer_feed(peer); },
+        [this] { return peers_.members(); }, peers_.self(), listener, std::move(fresh_prefix));
+    feed_.tell_from(*keeper_);
+    keeper_->start();
+}
+
+auto entry_instance::peer_feed(const member& peer) -> feed_source&
+{
+    auto& known = peer_feeds_[peer.peer_address];
+    if (!known) {
+        known = std::make_unique<peer_feed_source>(loop_, timers_, peer.peer_address,
+                                                   codec_of(settings_));
+    }
+    return *known;
+}
+
 auto entry_instance::stop() -> void
 {
     if (std::exchange(stopping_, true)) {
