--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -60,6 +60,7 @@
     auto count_members() -> void;
     auto finish_stop(time_point last) -> void;
     [[nodiscard]] auto peer_feed(const member& peer) -> feed_source&;
+    [[nodiscard]] auto sharers() const -> std::size_t;
     [[nodiscard]] auto connection_share(const target_record& target) const -> std::size_t;
     [[nodiscard]] auto answer_readiness() const -> relayed_answer;
     [[nodiscard]] auto answer_addresses() -> relayed_answer;
@@ -90,6 +91,8 @@
     std::map<address, std::unique_ptr<peer_feed_source>> peer_feeds_;
     std::optional<feed_keeper> keeper_;
     std::size_t instances_ = 1;
+    std::size_t preferred_ = 0;
+    bool is_preferred_ = false;
     time_point instances_noted_;
     bool stopping_ = false;
 };
--- a/include/knapweedchute/entry/entry_settings.hpp
+++ b/include/knapweedchute/entry/entry_settings.hpp
@@ -20,6 +20,7 @@
     address directory_address;            ///< Where callers ask for addresses.
     address admin_address;                ///< Where operators read state and metrics.
     address peer_address;                 ///< Where peers send datagrams.
+    std::uint32_t processor_permil = 0;   ///< Part of a core that it may use, in thousandths.
     std::vector<address> seeds;           ///< Peers to join through.
     address store_address;                ///< The platform's key-value service.
     extra_bounds extras;                  ///< Bound of hedges and retries over all instances.
--- a/include/knapweedchute/membership/member.hpp
+++ b/include/knapweedchute/membership/member.hpp
@@ -20,6 +20,7 @@
     address admin_address;                    ///< Where operators reach it.
     std::uint64_t incarnation = 0;            ///< Rises at each start and refutation.
     member_state state = member_state::alive; ///< What is believed of it.
+    std::uint32_t processor_permil = 0;       ///< Its part of a core, in thousandths; 0: not told.
 
     [[nodiscard]] auto operator<=>(const member&) const = default;
 
@@ -44,7 +45,7 @@
     save_bounded(archive, value.instance);
     save_bounded(archive, value.availability_zone);
     archive(value.peer_address, value.caller_address, value.admin_address, value.incarnation,
-            static_cast<std::uint8_t>(value.state));
+            static_cast<std::uint8_t>(value.state), value.processor_permil);
 }
 
 template <typename Archive>
@@ -53,8 +54,8 @@
     auto state = std::uint8_t{0};
     load_bounded(archive, value.instance, longest_member_text);
     load_bounded(archive, value.availability_zone, longest_member_text);
-    archive(value.peer_address, value.caller_address, value.admin_address, value.incarnation,
-            state);
+    archive(value.peer_address, value.caller_address, value.admin_address, value.incarnation, state,
+            value.processor_permil);
     if (state > static_cast<std::uint8_t>(member_state::left)) {
         throw cereal::Exception{"unknown member state"};
     }
--- a/include/knapweedchute/net/connection_pool.hpp
+++ b/include/knapweedchute/net/connection_pool.hpp
@@ -4,7 +4,6 @@
 #include <knapweedchute/relay/timer_queue.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -51,7 +50,7 @@
     timer_queue* timers_;
     header_names names_;
     share_of share_;
-    std::map<std::string, lane> lanes_;
+    std::unordered_map<std::string, lane> lanes_;
     std::unordered_map<exchange_id, std::weak_ptr<target_connection>> running_;
     exchange_id next_ = 1;
 };
--- a/include/knapweedchute/relay/extra_window.hpp
+++ b/include/knapweedchute/relay/extra_window.hpp
@@ -4,8 +4,8 @@
 
 #include <cstddef>
 #include <deque>
-#include <map>
 #include <string>
+#include <unordered_map>
 
 namespace knapweedchute {
 
@@ -46,7 +46,7 @@
 
     extra_bounds bounds_;
     std::size_t instances_ = 1;
-    std::map<std::string, history> services_;
+    std::unordered_map<std::string, history> services_;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/replica_placing.hpp
+++ b/include/knapweedchute/relay/replica_placing.hpp
@@ -6,10 +6,10 @@
 #include <knapweedchute/target/target_registry.hpp>
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace knapweedchute {
@@ -51,7 +51,7 @@
     const target_registry* registry_;
     const exchange_port* port_;
     std::mt19937_64 random_;
-    std::map<std::string, replica_load> loads_;
+    std::unordered_map<std::string, replica_load> loads_;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/route_pace.hpp
+++ b/include/knapweedchute/relay/route_pace.hpp
@@ -3,8 +3,8 @@
 #include <knapweedchute/core/time.hpp>
 #include <knapweedchute/route/route.hpp>
 
-#include <map>
 #include <string>
+#include <unordered_map>
 
 namespace knapweedchute {
 
@@ -23,7 +23,7 @@
     [[nodiscard]] auto straggling_after(const route& of) const -> duration;
 
 private:
-    std::map<std::string, duration> usual_;
+    std::unordered_map<std::string, duration> usual_;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/route/route_table.hpp
+++ b/include/knapweedchute/route/route_table.hpp
@@ -5,7 +5,6 @@
 #include <knapweedchute/route/service_rules.hpp>
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -47,7 +46,7 @@
     std::uint64_t version_;
     std::vector<route> routes_;
     std::unordered_map<std::string, std::vector<const route*>> by_host_;
-    std::map<std::string, service_rules> services_;
+    std::unordered_map<std::string, service_rules> services_;
     service_rules no_rules_;
     caller_limits limits_;
 };
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -29,7 +29,7 @@
 {
     return {values.instance,       values.availability_zone, values.peer_address,
             values.caller_address, values.admin_address,     incarnation,
-            member_state::joining};
+            member_state::joining, values.processor_permil};
 }
 
 /// The settings bring no secret: messages of other deployments are told apart by their store.
@@ -156,7 +156,22 @@
         instances_ = serving;
         instances_noted_ = now;
     }
-    extras_.share_among(instances_);
+    const auto preferred = address_choice::preferred(members);
+    preferred_ = preferred.size();
+    is_preferred_ = std::any_of(preferred.begin(), preferred.end(), [&](const auto& known) {
+        return known.instance == settings_.instance;
+    });
+    extras_.share_among(sharers());
+}
+
+auto entry_instance::sharers() const -> std::size_t
+{
+    // Callers are sent to the preferred ones; the others get half for the few that come all the
+    // same. Where all are preferred, all share alike.
+    if (preferred_ == 0 || preferred_ >= instances_) {
+        return instances_;
+    }
+    return 2 * (is_preferred_ ? preferred_ : instances_ - preferred_);
 }
 
 auto entry_instance::connection_share(const target_record& target) const -> std::size_t
@@ -164,7 +179,7 @@
     const auto limit =
         view_.table() ? view_.table()->rules(target.service).connections : std::int64_t{1};
     const auto divided = static_cast<double>(limit) * divided_part;
-    return std::max<std::size_t>(static_cast<std::size_t>(divided) / instances_, 1);
+    return std::max<std::size_t>(static_cast<std::size_t>(divided) / sharers(), 1);
 }
 
 auto entry_instance::answer_readiness() const -> relayed_answer
--- a/src/entry/entry_settings_reader.cpp
+++ b/src/entry/entry_settings_reader.cpp
@@ -6,6 +6,8 @@
 constexpr auto longest_period_ms = std::int64_t{600'000};
 constexpr auto shortest_period_s = 0.001;
 constexpr auto longest_period_s = 600.0;
+constexpr auto most_cores = 1'024.0;
+constexpr auto permil = 1'000.0;
 constexpr auto most_extras = 1e6;
 
 /// Seeds name the admin addresses of peers; datagrams go to their peer port.
@@ -60,6 +62,9 @@
     value.stop_grace = seconds_at("stop_grace_s");
     value.extras.window = seconds_at("extra_window_s");
     value.extras.ratio = reader.number("extra_ratio", 0.0, 1.0);
+    value.processor_permil =
+        static_cast<std::uint32_t>(reader.number("processor_share", 0.0, most_cores) *
+                                   reader.number("cores", 0.0, most_cores) * permil);
     value.extras.allowance = reader.number("extra_allowance", 0.0, most_extras);
     reader.finish();
     return faults_.empty() ? std::optional{std::move(value)} : std::nullopt;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -258,4 +258,29 @@
     BOOST_TEST(readers == 4);
 }
 
+BOOST_AUTO_TEST_CASE(addresses_strong_instances_are_preferred_while_enough_live)
+{
+    auto members = std::vector<member>{};
+    for (auto number = 0; number < 20; ++number) {
+        members.push_back({"n" + std::to_string(number),
+                           "z",
+                           {},
+                           {},
+                           {},
+                           1,
+                           member_state::alive,
+                           number < 6 ? 500U : 120U});
+    }
+    BOOST_TEST(address_choice::preferred(members).size() == 6U);
+    for (auto number = std::size_t{0}; number < 4; ++number) {
+        members[number].state = member_state::suspect;
+    }
+    const auto few = address_choice::preferred(members);
+    BOOST_TEST(few.size() == address_choice::fewest_addresses);
+    BOOST_TEST(few.front().processor_permil == 500U);
+    members[4].state = member_state::dead;
+    members[5].state = member_state::dead;
+    BOOST_TEST(address_choice::preferred(members).size() == 14U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
