--- /dev/null
+++ b/tests/unit/net/caller_session_test.cpp
@@ -0,0 +1,162 @@
+#include "support/loopback.hpp"
+
+#include <knapweedchute/entry/fixed_handler.hpp>
+#include <knapweedchute/net/asio_timer_queue.hpp>
+#include <knapweedchute/net/caller_listener.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+
+using namespace knapweedchute;
+using namespace knapweedchute::test;
+
+namespace {
+
+const auto names = header_names{"Id", "Wait", "Only", "Not-Run", "Proof", "Proofs", "Missing"};
+
+/// Echoes requests; holds those for /hold until their caller leaves.
+class echo_handler final : public request_handler
+{
+public:
+    auto handle(relayed_request request, responder respond) -> std::uint64_t override
+    {
+        handled += 1;
+        if (request.target == "/hold") {
+            held = std::move(respond);
+            return 7;
+        }
+        respond({200, request.fields, request.method + " " + request.target + " " + request.body});
+        return 0;
+    }
+    auto leave(std::uint64_t request) -> void override { left += request == 7 ? 1 : 0; }
+    [[nodiscard]] auto limits() const -> caller_limits override
+    {
+        return {400, 64, milliseconds{150}, milliseconds{300}};
+    }
+
+    responder held;
+    std::atomic<int> handled{0};
+    std::atomic<int> left{0};
+};
+
+struct session_fixture
+{
+    boost::asio::io_context loop;
+    asio_timer_queue timers{loop};
+    echo_handler handler;
+    caller_listener listener{loop, handler, timers, names};
+    std::uint16_t port = free_port();
+    std::thread thread;
+
+    session_fixture()
+    {
+        auto reason = error{};
+        BOOST_REQUIRE(listener.open({loopback_ip, port}, reason));
+        thread = std::thread{[this] { loop.run(); }};
+    }
+    session_fixture(const session_fixture&) = delete;
+    auto operator=(const session_fixture&) -> session_fixture& = delete;
+    ~session_fixture()
+    {
+        loop.stop();
+        thread.join();
+    }
+
+    auto status_of(const std::string& bytes) -> std::string
+    {
+        const auto answer = send_raw(port, bytes);
+        return answer.size() < 12 ? answer : answer.substr(9, 3);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(caller_session_suite, session_fixture)
+
+BOOST_AUTO_TEST_CASE(request_whole_passes_method_target_body_and_headers)
+{
+    const auto answer = send_raw(port, "PUT /a?b=c HTTP/1.1\r\nHost: h\r\nX-Kept: 1\r\n"
+                                       "Wait: 500\r\nOnly: i-1\r\nConnection: close\r\n"
+                                       "Content-Length: 3\r\n\r\nxyz");
+    BOOST_TEST(answer.find("PUT /a?b=c xyz") != std::string::npos);
+    BOOST_TEST(answer.find("X-Kept: 1") != std::string::npos);
+    BOOST_TEST(answer.find("Only") == std::string::npos);
+    BOOST_TEST(answer.find("Wait") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(request_in_chunks_is_decoded)
+{
+    const auto answer =
+        send_raw(port, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                       "Connection: close\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+    BOOST_TEST(answer.find("POST / abc") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(requests_in_one_packet_are_answered_in_order)
+{
+    const auto answer = send_raw(port, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                       "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const auto first = answer.find("GET /1");
+    const auto second = answer.find("GET /2");
+    BOOST_TEST(first != std::string::npos);
+    BOOST_TEST(second != std::string::npos);
+    BOOST_TEST(first < second);
+}
+
+BOOST_AUTO_TEST_CASE(request_malformed_is_refused_and_the_connection_closed)
+{
+    for (const auto* bytes :
+         {"nonsense\r\n\r\n", "GET / HTTP/9.9\r\nHost: h\r\n\r\n", "GET /\r\n\r\n",
+          "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+          "GET / HTTP/1.1\r\nHost h\r\n\r\n", "GET / HTTP/1.1\r\nHo st: h\r\n\r\n",
+          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n",
+          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "0\r\n\r\n",
+          "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n"}) {
+        BOOST_TEST(status_of(bytes) == "400", bytes);
+    }
+    BOOST_TEST(handler.handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(request_over_a_limit_is_refused_by_its_name)
+{
+    BOOST_TEST(status_of("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(500, 'x') + "\r\n\r\n") ==
+               "431");
+    BOOST_TEST(status_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n") == "413");
+    BOOST_TEST(status_of("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" +
+                         std::string(65, 'x') + "\r\n0\r\n\r\n") == "413");
+}
+
+BOOST_AUTO_TEST_CASE(request_too_slow_times_out)
+{
+    BOOST_TEST(status_of("GET / HTTP/1.1\r\nHost:") == "408");
+    BOOST_TEST(status_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab") == "408");
+}
+
+BOOST_AUTO_TEST_CASE(connection_idle_is_closed_without_a_word)
+{
+    BOOST_TEST(send_raw(port, "").empty());
+}
+
+BOOST_AUTO_TEST_CASE(caller_leaves_its_work_is_ended)
+{
+    auto client = boost::asio::io_context{};
+    {
+        auto socket = boost::asio::ip::tcp::socket{client};
+        socket.connect({boost::asio::ip::make_address_v4("127.0.0.1"), port});
+        boost::asio::write(
+            socket, boost::asio::buffer(std::string{"GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"}));
+        while (handler.handled == 0) {
+            std::this_thread::yield();
+        }
+    }
+    while (handler.left == 0) {
+        std::this_thread::yield();
+    }
+    BOOST_TEST(handler.left == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
