--- a/include/knapweedchute/feed/feed_source.hpp
+++ b/include/knapweedchute/feed/feed_source.hpp
@@ -41,6 +41,9 @@
     virtual auto read(const std::string& prefix, const std::string& after, bool may_be_old,
                       listener done) -> void = 0;
 
+    /// \brief Uses new connections from now on: kept ones may have fallen silent.
+    virtual auto renew() -> void = 0;
+
     /// \brief Waits for changes after a revision.
     virtual auto watch(std::uint64_t after, milliseconds wait, listener done) -> void = 0;
 };
--- a/include/knapweedchute/feed/peer_feed_source.hpp
+++ b/include/knapweedchute/feed/peer_feed_source.hpp
@@ -15,6 +15,7 @@
 
     auto read(const std::string& prefix, const std::string& after, bool may_be_old, listener done)
         -> void override;
+    auto renew() -> void override { client_.renew(); }
     auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override;
 
 private:
--- a/include/knapweedchute/net/call_client.hpp
+++ b/include/knapweedchute/net/call_client.hpp
@@ -28,6 +28,9 @@
     /// \param timeout Time from sending to the answer.
     auto call(std::string text, duration timeout, listener done) -> void;
 
+    /// \brief Uses a new connection for the next call, unless one is in progress.
+    auto renew() -> void;
+
     /// \brief Text of a call with a JSON body, or without one.
     [[nodiscard]] auto encode(std::string_view method, std::string_view target,
                               std::string_view body) const -> std::string;
--- a/src/feed/feed_keeper.cpp
+++ b/src/feed/feed_keeper.cpp
@@ -149,7 +149,11 @@
     if (before != after) {
         log_line.info("Source chosen.", {{"from", after.empty() ? "store" : after}});
     }
-    return followed_ ? peer_(*followed_) : *store_;
+    auto& source = followed_ ? peer_(*followed_) : *store_;
+    if (before != after || losses_ > 0) {
+        source.renew();
+    }
+    return source;
 }
 
 auto feed_keeper::note_loss() -> void
--- a/src/net/call_client.cpp
+++ b/src/net/call_client.cpp
@@ -25,6 +25,13 @@
     }
 }
 
+auto call_client::renew() -> void
+{
+    if (!busy_ && connection_) {
+        connection_->close();
+    }
+}
+
 auto call_client::encode(std::string_view method, std::string_view target,
                          std::string_view body) const -> std::string
 {
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -41,6 +41,8 @@
         end(reply, milliseconds{1}, std::move(done));
     }
 
+    auto renew() -> void override { silent = false; }
+
     auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override
     {
         watches += 1;
@@ -54,6 +56,10 @@
                 reply.page.events.push_back(change);
             }
         }
+        if (silent) {
+            end({feed_end::lost, {}}, wait + milliseconds{500}, std::move(done));
+            return;
+        }
         const auto waits = up && reply.end == feed_end::done && reply.page.events.empty();
         end(reply, waits ? duration{wait} : duration{milliseconds{1}}, std::move(done));
     }
@@ -77,6 +83,7 @@
     std::size_t reads = 0;
     std::size_t watches = 0;
     bool up = true;
+    bool silent = false; ///< Kept connections lead nowhere, new ones work.
 
 private:
     auto end(const feed_reply& reply, duration after, listener done) -> void
@@ -232,6 +239,19 @@
     BOOST_TEST(listener.held.contains("servers/d"));
 }
 
+BOOST_AUTO_TEST_CASE(feed_silent_connections_everywhere_cost_one_wait)
+{
+    add_readers();
+    start();
+    timers.advance(seconds{10});
+    peer.silent = true;
+    store.silent = true;
+    timers.advance(milliseconds{1'600});
+    peer.change(event("servers/d", 70));
+    timers.advance(milliseconds{2'100});
+    BOOST_TEST(listener.held.contains("servers/d"));
+}
+
 BOOST_AUTO_TEST_CASE(cache_peer_that_lags_too_far_is_told_to_read_again)
 {
     auto cache = feed_cache{};
