--- /dev/null
+++ b/tests/process/entry_daemon.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# The entry daemon: bad settings are named, it is not ready without a configuration and says so,
+# a stop during an outage of the store ends with exit code 0 within the grace.
+. "$(dirname "$0")/common.sh"
+settings() { # KEY VALUE: the settings with one key changed
+    cat >"$work/entry.json" <<JSON
+{"instance": "i1", "availability_zone": "a", "caller_address": "127.0.0.1:23101",
+ "readiness_address": "127.0.0.1:23102", "directory_address": "127.0.0.1:23103",
+ "admin_address": "127.0.0.1:23104", "peer_address": "127.0.0.1:23105", "seeds": [],
+ "processor_share": 0.25, "cores": 1, "store_address": "127.0.0.1:23106",
+ "address_lifetime_ms": 200, "stop_grace_s": 3, "extra_window_s": 10, "extra_ratio": 0.2,
+ "extra_allowance": 58}
+JSON
+    [ $# = 0 ] || sed -i "s|\"$1\": [^,}]*|\"$1\": $2|" "$work/entry.json"
+}
+faults() { "$bin/knapweedchute-entryd" --check-settings --settings "$work/entry.json" 2>&1 || true; }
+for bad in 'caller_address "nowhere"' 'extra_ratio 7' 'stop_grace_s "soon"' 'seeds ["x"]'; do
+    settings ${bad%% *} "${bad#* }"
+    faults | grep -q "/${bad%% *}" || fail "fault of ${bad%% *} is not named: $(faults)"
+done
+settings
+[ "$(faults)" = "settings are valid" ] || fail "good settings are refused"
+
+run "$bin/knapweedchute-entryd" --settings "$work/entry.json"
+status() { curl -s -m 2 -o /dev/null -w '%{http_code}' "$1"; }
+up() { [ "$(status http://127.0.0.1:23102/api/ready)" = 503 ]; }
+until_true 10 "not ready is said" up
+curl -s -m 2 -i http://127.0.0.1:23101/x | grep -qi '^Retry-After' || fail "no time to come back"
+[ "$(status http://127.0.0.1:23101/x)" = 503 ] || fail "a request without a configuration"
+[ "$(status http://127.0.0.1:23103/api/resolve)" = 503 ] || fail "addresses without any"
+curl -s -m 2 http://127.0.0.1:23104/metrics | grep -q queries_received || fail "no metrics"
+curl -s -m 2 http://127.0.0.1:23104/state | grep -q '"instance":"i1"' || fail "no state"
+
+"$bin/knapweedchute-entryd" --settings "$work/entry.json" >"$work/second" 2>&1 && fail "two at one address"
+grep -q "127.0.0.1:23101" "$work/second" || fail "the address that is in use is not named"
+
+kill -HUP "${pids[-1]}"
+until_true 5 "settings read again" grep -q "Settings read again. valid=true" "$work/log"
+kill -TERM "${pids[-1]}"
+code=0
+end=$((SECONDS + 4))
+while kill -0 "${pids[-1]}" 2>/dev/null; do
+    [ "$SECONDS" -lt "$end" ] || fail "still running after the grace"
+    sleep 0.05
+done
+wait "${pids[-1]}" || code=$?
+[ "$code" = 0 ] || fail "exit code $code"
+echo passed
--- a/tests/unit/relay/relay_parts_test.cpp
+++ b/tests/unit/relay/relay_parts_test.cpp
@@ -170,4 +170,18 @@
     BOOST_TEST(registry.usable("s").size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(registry_version_that_is_held_gets_nothing)
+{
+    auto registry = target_registry{};
+    auto next = target("x");
+    next.version = "v2";
+    registry.put(next, at(0));
+    registry.put(target("y"), at(0));
+    registry.hold_version("s", "v2");
+    BOOST_TEST(registry.usable("s").size() == 1U);
+    BOOST_TEST(!registry.may_use(next));
+    registry.hold_version("s", "");
+    BOOST_TEST(registry.usable("s").size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
