Short watches after a loss: a store that hung is heard soon after its return

Ruled out: peers (all were alike), the pause between tries (0.2 s). Change: after a loss a watch waits 0.1 s, so a call that hangs ends 0.7 s later.

--- a/include/knapweedchute/net/caller_session.hpp
+++ b/include/knapweedchute/net/caller_session.hpp
@@ -59,7 +59,7 @@
     auto parse_some() -> bool;
     auto on_parse_error(const boost::system::error_code& failure) -> void;
     auto on_request() -> void;
-    auto respond(relayed_answer answer, bool close) -> void;
+    auto respond(const relayed_answer& answer, bool close) -> void;
     auto on_written(bool close) -> void;
     auto enter(stage next) -> void;
     auto on_timeout() -> void;
--- a/src/feed/feed_keeper.cpp
+++ b/src/feed/feed_keeper.cpp
@@ -13,6 +13,8 @@
 /// A watch of an instance that nobody follows: within the time after which a machine whose
 /// connection fell silent counts as in touch again.
 constexpr auto alone_wait = milliseconds{3'500};
+/// A watch after a loss: a call to a source that is still away hangs to its end, so it is short.
+constexpr auto probing_wait = milliseconds{100};
 /// Above this some instance follows another, whatever the zones are.
 constexpr auto largest_fleet_of_readers = feed_choice::readers_per_zone * 3;
 /// Between two watches: changes come in bursts, each call is priced, and one call brings a burst.
@@ -107,6 +109,11 @@
 auto feed_keeper::watch() -> void
 {
     auto& source = pick_source();
+    if (losses_ > 0) {
+        source.watch(cache_.revision(), probing_wait,
+                     [this](const auto& reply) { on_watch(reply); });
+        return;
+    }
     const auto others_depend = followed_ || members_().size() > largest_fleet_of_readers;
     source.watch(cache_.revision(), others_depend ? followed_wait : alone_wait,
                  [this](const auto& reply) { on_watch(reply); });
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -158,11 +158,11 @@
     enter(stage::busy);
     const auto serial = ++serial_;
     const auto weak = weak_from_this();
-    const auto call = handler_->handle(std::move(request), [weak, serial, close](auto answer) {
+    const auto call = handler_->handle(std::move(request), [weak, serial, close](const auto& answer) {
         const auto alive = weak.lock();
         if (alive && alive->stage_ == stage::busy && alive->serial_ == serial) {
             alive->call_ = 0;
-            alive->respond(std::move(answer), close);
+            alive->respond(answer, close);
         }
     });
     if (stage_ == stage::busy && serial_ == serial) {
@@ -192,7 +192,7 @@
     return request;
 }
 
-auto caller_session::respond(relayed_answer answer, bool close) -> void
+auto caller_session::respond(const relayed_answer& answer, bool close) -> void
 {
     close = close || closing_;
     output_ = encode_answer(answer, head_only_, close);
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -56,7 +56,7 @@
                 reply.page.events.push_back(change);
             }
         }
-        if (silent) {
+        if (silent || hanging) {
             end({feed_end::lost, {}}, wait + milliseconds{500}, std::move(done));
             return;
         }
@@ -83,7 +83,8 @@
     std::size_t reads = 0;
     std::size_t watches = 0;
     bool up = true;
-    bool silent = false; ///< Kept connections lead nowhere, new ones work.
+    bool hanging = false; ///< Calls made now hang to their end, whatever happens meanwhile.
+    bool silent = false;  ///< Kept connections lead nowhere, new ones work.
 
 private:
     auto end(const feed_reply& reply, duration after, listener done) -> void
@@ -252,6 +253,18 @@
     BOOST_TEST(listener.held.contains("servers/d"));
 }
 
+BOOST_AUTO_TEST_CASE(feed_store_that_hung_is_heard_soon_after_its_return)
+{
+    start();
+    timers.advance(seconds{4});
+    store.hanging = true;
+    timers.advance(milliseconds{7'500});
+    store.hanging = false;
+    store.change(event("servers/d", 80));
+    timers.advance(seconds{2});
+    BOOST_TEST(listener.held.contains("servers/d"));
+}
+
 BOOST_AUTO_TEST_CASE(cache_peer_that_lags_too_far_is_told_to_read_again)
 {
     auto cache = feed_cache{};
