--- a/include/knapweedchute/relay/impl/relay_call.hpp
+++ b/include/knapweedchute/relay/impl/relay_call.hpp
@@ -24,6 +24,7 @@
     std::size_t unsent = 0;                 ///< Sends that never left this instance.
     bool waiting = false;                   ///< Waits for a connection.
     bool failed = false;                    ///< Given up.
+    std::optional<exchange_end> last_end;   ///< How its latest exchange ended.
     bool may_have_run = false;              ///< Some target may have worked on it.
     std::optional<relayed_answer> answer;   ///< Useful answer.
     std::optional<relayed_answer> failure;  ///< Latest failure that a target told.
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -94,6 +94,7 @@
     [[nodiscard]] auto merge(call& of) const -> relayed_answer;
     [[nodiscard]] auto failure_of(const call& of, bool timed_out) const -> relayed_answer;
     auto end(const shared_call& of, relayed_answer answer) -> void;
+    auto log_failure(const call& of, unsigned status) const -> void;
     auto release(call& of, bool at_once) -> void;
 
     relay_policy policy_;
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -158,13 +158,14 @@
     enter(stage::busy);
     const auto serial = ++serial_;
     const auto weak = weak_from_this();
-    const auto call = handler_->handle(std::move(request), [weak, serial, close](const auto& answer) {
-        const auto alive = weak.lock();
-        if (alive && alive->stage_ == stage::busy && alive->serial_ == serial) {
-            alive->call_ = 0;
-            alive->respond(answer, close);
-        }
-    });
+    const auto call =
+        handler_->handle(std::move(request), [weak, serial, close](const auto& answer) {
+            const auto alive = weak.lock();
+            if (alive && alive->stage_ == stage::busy && alive->serial_ == serial) {
+                alive->call_ = 0;
+                alive->respond(answer, close);
+            }
+        });
     if (stage_ == stage::busy && serial_ == serial) {
         call_ = call;
     }
--- /dev/null
+++ b/src/relay/relay_finish.cpp
@@ -0,0 +1,148 @@
+// The part of relay_coordinator that ends requests.
+#include <knapweedchute/core/log.hpp>
+#include <knapweedchute/relay/record_merge.hpp>
+#include <knapweedchute/relay/refusal_answer.hpp>
+#include <knapweedchute/relay/relay_coordinator.hpp>
+
+#include <boost/algorithm/string/join.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedchute {
+namespace {
+
+constexpr auto status_success = 200U;
+constexpr auto status_server_error = 500U;
+/// Shares of shards are fractions; a share that is just met must not fail by rounding.
+constexpr auto rounding = 1e-9;
+
+} // namespace
+
+auto relay_coordinator::finish_if_done(const shared_call& of) -> void
+{
+    if (of->ended) {
+        return;
+    }
+    const auto count = [&](auto test) {
+        return static_cast<double>(std::count_if(of->parts.begin(), of->parts.end(), test));
+    };
+    const auto total = static_cast<double>(of->parts.size());
+    const auto answered = count([](const part& one) { return one.answer.has_value(); });
+    const auto failed = count([](const part& one) { return one.failed; });
+    const auto all_done = answered + failed == total;
+    if (!of->way->is_query()) {
+        if (all_done) {
+            finish_relay(of, false);
+        }
+        return;
+    }
+    const auto least = of->way->least_coverage * total - rounding;
+    const auto enough = answered > 0 && answered >= least;
+    const auto hopeless = total - failed < least;
+    if (all_done || hopeless || (of->past_goal && enough)) {
+        finish_query(of, false);
+    }
+}
+
+auto relay_coordinator::finish_query(const shared_call& of, bool timed_out) -> void
+{
+    const auto answered =
+        static_cast<double>(std::count_if(of->parts.begin(), of->parts.end(),
+                                          [](const part& one) { return one.answer.has_value(); }));
+    const auto total = static_cast<double>(of->parts.size());
+    if (answered == 0 || answered < of->way->least_coverage * total - rounding) {
+        end(of, failure_of(*of, timed_out));
+        return;
+    }
+    counters_->add(answered < total ? counter::queries_partial : counter::queries_answered);
+    end(of, merge(*of));
+}
+
+auto relay_coordinator::finish_relay(const shared_call& of, bool timed_out) -> void
+{
+    auto& only = of->parts.front();
+    if (only.answer) {
+        counters_->add(counter::queries_answered);
+        end(of, std::move(*only.answer));
+        return;
+    }
+    if (only.failure) {
+        counters_->add(counter::queries_refused);
+        end(of, std::move(*only.failure));
+        return;
+    }
+    end(of, failure_of(*of, timed_out));
+}
+
+auto relay_coordinator::merge(call& of) const -> relayed_answer
+{
+    auto bodies = std::vector<std::string>{};
+    auto proofs = std::string{};
+    auto missing = std::size_t{0};
+    for (auto& one : of.parts) {
+        if (!one.answer) {
+            missing += 1;
+            continue;
+        }
+        proofs +=
+            (proofs.empty() ? "" : ", ") + find_field(one.answer->fields, names_.proof)->value;
+        bodies.push_back(std::move(one.answer->body));
+    }
+    return {status_success,
+            {{names_.request_id, of.request.id},
+             {names_.proofs, std::move(proofs)},
+             {names_.missing, std::to_string(missing)}},
+            merge_records(bodies, of.way->top)};
+}
+
+auto relay_coordinator::failure_of(const call& of, bool timed_out) const -> relayed_answer
+{
+    constexpr auto bad_gateway = 502U;
+    constexpr auto gateway_timeout = 504U;
+    const auto may_have_run = std::any_of(of.parts.begin(), of.parts.end(), [](const part& one) {
+        return one.may_have_run || !one.live.empty() || one.answer;
+    });
+    counters_->add(counter::queries_refused);
+    if (!may_have_run) {
+        return not_run_answer("no target can take the request", policy_.retry_after);
+    }
+    return timed_out ? own_answer(gateway_timeout, "not answered in time")
+                     : own_answer(bad_gateway, "targets failed");
+}
+
+auto relay_coordinator::end(const shared_call& of, relayed_answer answer) -> void
+{
+    of->ended = true;
+    if (answer.status >= status_server_error) {
+        log_failure(*of, answer.status);
+    }
+    release(*of, false);
+    const auto respond = std::move(of->respond);
+    respond(std::move(answer));
+}
+
+auto relay_coordinator::log_failure(const call& of, unsigned status) const -> void
+{
+    static const auto log_line = logger{"relay"};
+    const auto took = std::chrono::duration_cast<milliseconds>(timers_->now() - of.started);
+    const auto answered = std::count_if(of.parts.begin(), of.parts.end(),
+                                        [](const part& one) { return one.answer.has_value(); });
+    const auto lost = std::find_if(of.parts.begin(), of.parts.end(),
+                                   [](const part& one) { return !one.answer.has_value(); });
+    const auto known = lost != of.parts.end();
+    log_line.warning(
+        "Request failed.",
+        {{"request", of.request.id},
+         {"route", of.way->name},
+         {"status", std::to_string(status)},
+         {"ms", std::to_string(took.count())},
+         {"version", std::to_string(of.table->version())},
+         {"answered", std::to_string(answered) + "/" + std::to_string(of.parts.size())},
+         {"lost_service", known ? lost->service : ""},
+         {"tried", known ? boost::algorithm::join(lost->tried, ",") : ""},
+         {"usable", std::to_string(known ? registry_->usable(lost->service).size() : 0)},
+         {"last_end", known && lost->last_end ? std::string{to_string(*lost->last_end)} : "none"}});
+}
+
+} // namespace knapweedchute
--- a/src/route/weighted_split.cpp
+++ b/src/route/weighted_split.cpp
@@ -9,11 +9,11 @@
     }
     auto& owed = owed_[from.name];
     auto total = 0.0;
-    const weighted_service* chosen = nullptr;
+    const auto* chosen = &from.split.front();
     for (const auto& part : from.split) {
         total += part.weight;
         owed[part.service] += part.weight;
-        if (chosen == nullptr || owed[part.service] > owed[chosen->service]) {
+        if (owed[part.service] > owed[chosen->service]) {
             chosen = &part;
         }
     }
