--- a/include/knapweedchute/net/target_connection.hpp
+++ b/include/knapweedchute/net/target_connection.hpp
@@ -67,7 +67,6 @@
     std::optional<parser> parser_;
     exchange_order order_;
     exchange_port::listener done_;
-    time_point started_;
     time_point idle_since_;
     std::optional<seconds> idle_limit_;
     std::size_t served_ = 0;
--- a/include/knapweedchute/relay/exchange_result.hpp
+++ b/include/knapweedchute/relay/exchange_result.hpp
@@ -32,7 +32,6 @@
 {
     exchange_end end = exchange_end::unknown; ///< How it ended.
     relayed_answer answer;                    ///< The answer, for `answered`.
-    duration elapsed{0};                      ///< From handing over to the end.
     bool kept_connection = false;             ///< Whether the connection had served others before.
     bool never_sent = false;                  ///< Whether no byte left, for `not_run`.
 };
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -73,6 +73,10 @@
     using part = impl::call_part;
     using shared_call = std::shared_ptr<call>;
 
+    /// \brief What may be done to a call when its time has come.
+    using call_event = void (relay_coordinator::*)(const shared_call&);
+
+    auto call_at(const shared_call& of, time_point when, call_event event) -> timer_id;
     auto set_timers(const shared_call& of) -> void;
     auto dispatch(const shared_call& of, std::size_t index) -> void;
     auto send(const shared_call& of, std::size_t index, const placement& where) -> void;
--- a/include/knapweedchute/relay/replica_load.hpp
+++ b/include/knapweedchute/relay/replica_load.hpp
@@ -2,15 +2,15 @@
 
 #include <knapweedchute/core/time.hpp>
 
-#include <deque>
 #include <map>
 
 namespace knapweedchute {
 
 /// \brief What one instance has seen of one target.
 ///
-/// \detail Answers 1% load of pauses, slow and failing targets: an exchange that is open for long
-///         counts as slowness before it ends, and slowness fades with time, so that a target is
+/// \detail Made for targets that pause, slow down or fail: an exchange that is open for long counts
+/// as
+///         slowness before it ends, and remembered slowness fades with time, so that a target is
 ///         tried again without probes.
 class replica_load
 {
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -1,6 +1,5 @@
 #include "message_fields.hpp"
 
-#include <knapweedchute/core/log.hpp>
 #include <knapweedchute/net/target_connection.hpp>
 
 #include <boost/asio/write.hpp>
@@ -58,7 +57,6 @@
 {
     order_ = std::move(order);
     done_ = std::move(done);
-    started_ = steady_clock::now();
     written_ = false;
     new_parser();
 }
@@ -197,7 +195,6 @@
 auto target_connection::finish(exchange_result result) -> void
 {
     idle_since_ = steady_clock::now();
-    result.elapsed = idle_since_ - started_;
     result.kept_connection = served_ > 0;
     served_ += 1;
     const auto done = std::exchange(done_, nullptr);
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -113,24 +113,26 @@
     }
 }
 
+auto relay_coordinator::call_at(const shared_call& of, time_point when, call_event event)
+    -> timer_id
+{
+    return timers_->at(when, [this, weak = std::weak_ptr{of}, event] {
+        if (const auto alive = weak.lock(); alive && !alive->ended) {
+            (this->*event)(alive);
+        }
+    });
+}
+
 auto relay_coordinator::set_timers(const shared_call& of) -> void
 {
-    const auto weak = std::weak_ptr{of};
-    const auto later = [&](time_point when, auto member) {
-        return timers_->at(when, [this, weak, member] {
-            if (const auto alive = weak.lock(); alive && !alive->ended) {
-                (this->*member)(alive);
-            }
-        });
-    };
-    of->deadline_timer = later(of->deadline, &relay_coordinator::on_deadline);
+    of->deadline_timer = call_at(of, of->deadline, &relay_coordinator::on_deadline);
     if (of->way->idempotent) {
-        of->straggler_timer = later(of->started + pace_.straggling_after(*of->way),
-                                    &relay_coordinator::hedge_stragglers);
+        of->straggler_timer = call_at(of, of->started + pace_.straggling_after(*of->way),
+                                      &relay_coordinator::hedge_stragglers);
     }
     const auto goal = of->started + of->way->latency_goal - policy_.goal_margin;
     if (of->way->is_query() && goal < of->deadline) {
-        of->goal_timer = later(goal, &relay_coordinator::on_goal);
+        of->goal_timer = call_at(of, goal, &relay_coordinator::on_goal);
     }
 }
 
@@ -274,12 +276,8 @@
     }
     of->straggler_checks += 1;
     if (of->straggler_checks < policy_.straggler_checks) {
-        const auto weak = std::weak_ptr{of};
-        of->straggler_timer = timers_->at(timers_->now() + usual, [this, weak] {
-            if (const auto alive = weak.lock(); alive && !alive->ended) {
-                hedge_stragglers(alive);
-            }
-        });
+        of->straggler_timer =
+            call_at(of, timers_->now() + usual, &relay_coordinator::hedge_stragglers);
     }
 }
 
--- /dev/null
+++ b/src/target/target_registry.cpp
@@ -0,0 +1,154 @@
+#include <knapweedchute/target/target_registry.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedchute {
+
+auto target_registry::put(target_record record, time_point now) -> void
+{
+    const auto known = entries_.find(record.id);
+    const auto disowned = known != entries_.end() && known->second.disowned &&
+                          known->second.record->born_unix_ms == record.born_unix_ms;
+    if (known != entries_.end()) {
+        unlist(known->second);
+    }
+    const auto cold_until = now + record.cold_for;
+    auto shared = std::make_shared<const target_record>(std::move(record));
+    auto& list = by_service_[shared->service];
+    list.all.push_back(shared);
+    list.current = false;
+    const auto id = shared->id;
+    entries_[id] = {std::move(shared), cold_until, std::nullopt, disowned};
+}
+
+auto target_registry::remove(const std::string& id, std::optional<time_point> hold_until) -> void
+{
+    const auto known = entries_.find(id);
+    if (known == entries_.end()) {
+        return;
+    }
+    if (hold_until) {
+        known->second.hold_until = known->second.hold_until.value_or(*hold_until);
+        return;
+    }
+    unlist(known->second);
+    entries_.erase(known);
+}
+
+auto target_registry::keep_only(const std::set<std::string>& ids,
+                                std::optional<time_point> hold_until) -> void
+{
+    auto gone = std::vector<std::string>{};
+    for (const auto& [id, known] : entries_) {
+        if (!ids.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        remove(id, hold_until);
+    }
+}
+
+auto target_registry::disown(const std::string& id, std::int64_t born_unix_ms) -> void
+{
+    const auto known = entries_.find(id);
+    if (known != entries_.end() && known->second.record->born_unix_ms == born_unix_ms) {
+        known->second.disowned = true;
+        by_service_[known->second.record->service].current = false;
+    }
+}
+
+auto target_registry::expire(time_point now) -> void
+{
+    auto over = std::vector<std::string>{};
+    for (const auto& [id, known] : entries_) {
+        if (known.hold_until && now >= *known.hold_until) {
+            over.push_back(id);
+        }
+    }
+    for (const auto& id : over) {
+        remove(id, std::nullopt);
+    }
+}
+
+auto target_registry::take_zone_out(const std::string& zone, bool out) -> void
+{
+    if (out) {
+        zones_out_.insert(zone);
+    } else {
+        zones_out_.erase(zone);
+    }
+    forget_usable();
+}
+
+auto target_registry::hold_version(const std::string& service, const std::string& version) -> void
+{
+    if (version.empty()) {
+        held_versions_.erase(service);
+    } else {
+        held_versions_[service] = version;
+    }
+    forget_usable();
+}
+
+auto target_registry::held_services() const -> std::set<std::string>
+{
+    auto services = std::set<std::string>{};
+    for (const auto& [service, version] : held_versions_) {
+        services.insert(service);
+    }
+    return services;
+}
+
+auto target_registry::usable(const std::string& service) const -> const target_list&
+{
+    static const auto none = target_list{};
+    const auto known = by_service_.find(service);
+    if (known == by_service_.end()) {
+        return none;
+    }
+    const auto& list = known->second;
+    if (!list.current) {
+        list.usable.clear();
+        std::copy_if(list.all.begin(), list.all.end(), std::back_inserter(list.usable),
+                     [this](const auto& record) { return may_use(*record); });
+        list.current = true;
+    }
+    return list.usable;
+}
+
+auto target_registry::may_use(const target_record& record) const -> bool
+{
+    const auto known = entries_.find(record.id);
+    const auto held = held_versions_.find(record.service);
+    if (held != held_versions_.end() && held->second == record.version) {
+        return false;
+    }
+    return known != entries_.end() && !known->second.disowned &&
+           known->second.record->born_unix_ms == record.born_unix_ms &&
+           known->second.record->service == record.service && !known->second.record->draining &&
+           !zones_out_.contains(record.availability_zone);
+}
+
+auto target_registry::is_cold(const target_record& record, time_point now) const -> bool
+{
+    const auto known = entries_.find(record.id);
+    return known != entries_.end() && now < known->second.cold_until;
+}
+
+auto target_registry::unlist(const entry& known) -> void
+{
+    auto& list = by_service_[known.record->service];
+    std::erase(list.all, known.record);
+    list.current = false;
+}
+
+auto target_registry::forget_usable() -> void
+{
+    for (auto& [service, list] : by_service_) {
+        list.current = false;
+    }
+}
+
+} // namespace knapweedchute
