--- a/tests/unit/net/caller_session_test.cpp
+++ b/tests/unit/net/caller_session_test.cpp
@@ -106,6 +106,8 @@
 
 BOOST_AUTO_TEST_CASE(request_malformed_is_refused_and_the_connection_closed)
 {
+    constexpr auto two_framings = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n0\r\n";
     for (const auto* bytes :
          {"nonsense\r\n\r\n", "GET / HTTP/9.9\r\nHost: h\r\n\r\n", "GET /\r\n\r\n",
           "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
@@ -113,8 +115,7 @@
           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n",
           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
-          "chunked\r\n\r\n0\r\n",
+          two_framings,
           "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n"}) {
         BOOST_TEST(status_of(bytes) == "400", bytes);
     }
