--- a/daemons/knapweedctl.cpp
+++ b/daemons/knapweedctl.cpp
@@ -162,7 +162,7 @@
     auto app = CLI::App{"Operators' command line of the knapweedchute query tier."};
     auto line = command_line{};
     app.footer(exit_codes);
-    app.set_version_flag("--version", "knapweedctl 0.1.0");
+    app.set_version_flag("--version", "knapweedctl " KNAPWEEDCHUTE_VERSION);
     app.add_flag("--json", line.options.json, "Print JSON for scripts");
     app.require_subcommand(1);
     app.fallthrough();
--- a/include/knapweedchute/config/object_reader.hpp
+++ b/include/knapweedchute/config/object_reader.hpp
@@ -57,6 +57,7 @@
                                  double fallback) -> double;
     [[nodiscard]] auto flag_or(std::string_view key, bool fallback) -> bool;
     [[nodiscard]] auto endpoint_or(std::string_view key, address fallback) -> address;
+    [[nodiscard]] auto endpoints(std::string_view key) -> std::vector<address>;
     /// @}
 
     /// \brief Calls `visit` with each element of an array and its path; absent means empty.
@@ -90,7 +91,28 @@
     std::set<std::string, std::less<>> known_;
 };
 
-/// \brief Parses the text of one JSON object and has its keys read.
+/// \brief Parses the text of one JSON object and has its keys read; unknown keys are faults.
+/// \param faults Receives every fault, in place of those it held.
+/// \param read   Called with the reader of the object; returns the value.
+/// \returns The value, or nothing if there is any fault.
+template <typename Read>
+[[nodiscard]] auto read_document(std::string_view text, fault_list& faults, Read read)
+    -> std::optional<decltype(read(std::declval<object_reader&>()))>
+{
+    faults.clear();
+    auto reason = error{};
+    const auto json = parse_json(text, reason);
+    if (!json) {
+        faults.push_back(reason);
+        return std::nullopt;
+    }
+    auto reader = object_reader{*json, "", faults};
+    auto value = read(reader);
+    reader.finish();
+    return faults.empty() ? std::optional{std::move(value)} : std::nullopt;
+}
+
+/// \brief Parses the text of one JSON object and has its keys read; unknown keys are passed over.
 /// \param reason Filled with the first fault when nothing is returned.
 /// \param read   Called with the reader of the object; returns the value.
 template <typename Read>
--- a/include/knapweedchute/net/peer_port.hpp
+++ b/include/knapweedchute/net/peer_port.hpp
@@ -37,10 +37,6 @@
 
     [[nodiscard]] auto members() const -> std::vector<member> { return membership_.members(); }
     [[nodiscard]] auto self() const -> const member& { return membership_.self(); }
-    [[nodiscard]] auto generation() const noexcept -> std::uint64_t
-    {
-        return membership_.generation();
-    }
 
 private:
     auto receive() -> void;
--- a/include/knapweedchute/target/target_registry.hpp
+++ b/include/knapweedchute/target/target_registry.hpp
@@ -23,7 +23,7 @@
     using target_list = std::vector<std::shared_ptr<const target_record>>;
 
     /// \brief Adds a target or replaces what is known of it.
-    auto put(target_record record, time_point now) -> void;
+    auto put(target_record record) -> void;
 
     /// \brief Notes that the entry of a target is gone from the list.
     /// \param hold_until Until when the target stays usable all the same, if any.
@@ -57,9 +57,6 @@
     /// \brief Whether a target may get a new request now.
     [[nodiscard]] auto may_use(const target_record& record) const -> bool;
 
-    /// \brief Whether a target is cold.
-    [[nodiscard]] auto is_cold(const target_record& record, time_point now) const -> bool;
-
     /// \brief Whether a target is on the list.
     [[nodiscard]] auto knows(const std::string& id) const -> bool { return entries_.contains(id); }
 
@@ -70,7 +67,6 @@
     struct entry
     {
         std::shared_ptr<const target_record> record;
-        time_point cold_until;
         std::optional<time_point> hold_until;
         bool disowned = false;
     };
--- a/src/config/object_reader.cpp
+++ b/src/config/object_reader.cpp
@@ -131,6 +131,23 @@
     return parsed.value_or(fallback);
 }
 
+auto object_reader::endpoints(std::string_view key) -> std::vector<address>
+{
+    auto list = std::vector<address>{};
+    each(key, [&](const auto& element, const auto& path) {
+        auto reason = error{};
+        const auto read = element.is_string()
+                              ? parse_address(element.template get<std::string>(), reason)
+                              : std::nullopt;
+        if (read) {
+            list.push_back(*read);
+        } else {
+            faults_->push_back({error_code::invalid_value, path, "expected IP:PORT"});
+        }
+    });
+    return list;
+}
+
 auto object_reader::each(
     std::string_view key,
     const std::function<void(const nlohmann::json&, const std::string&)>& visit) -> void
--- a/src/config/settings_reader.cpp
+++ b/src/config/settings_reader.cpp
@@ -28,18 +28,8 @@
     return value;
 }
 
-} // namespace
-
-auto settings_reader::read(std::string_view text) -> std::optional<settings>
+auto read_settings(object_reader& reader) -> settings
 {
-    faults_.clear();
-    auto reason = error{};
-    const auto json = parse_json(text, reason);
-    if (!json) {
-        faults_.push_back(reason);
-        return std::nullopt;
-    }
-    auto reader = object_reader{*json, "", faults_};
     const auto period = [&](std::string_view key, std::int64_t fallback) {
         return milliseconds{reader.integer_or(key, 1, longest_period_ms, fallback)};
     };
@@ -53,16 +43,7 @@
     value.admin_address = reader.endpoint("admin_address");
     value.peer_address = reader.endpoint("peer_address");
     value.platform_address = reader.endpoint("platform_address");
-    reader.each("seeds", [&](const auto& element, const auto& path) {
-        const auto seed = element.is_string()
-                              ? parse_address(element.template get<std::string>(), reason)
-                              : std::nullopt;
-        if (!seed) {
-            faults_.push_back({error_code::invalid_value, path, "expected IP:PORT"});
-            return;
-        }
-        value.seeds.push_back(*seed);
-    });
+    value.seeds = reader.endpoints("seeds");
     value.worker_threads = reader.integer_or("worker_threads", 1, most_threads, 2);
     value.http_threads = reader.integer_or("http_threads", 1, most_threads, 2);
     value.most_queries = reader.integer_or("most_queries", 1, most_queries, 2'000);
@@ -72,8 +53,14 @@
     value.store_period = period("store_period_ms", 1'000);
     value.address_lifetime = period("address_lifetime_ms", 5'000);
     value.freshness_limit = period("freshness_limit_ms", 5'000);
-    reader.finish();
-    return faults_.empty() ? std::optional{std::move(value)} : std::nullopt;
+    return value;
+}
+
+} // namespace
+
+auto settings_reader::read(std::string_view text) -> std::optional<settings>
+{
+    return read_document(text, faults_, read_settings);
 }
 
 } // namespace knapweedchute
--- a/src/entry/entry_settings_reader.cpp
+++ b/src/entry/entry_settings_reader.cpp
@@ -10,37 +10,8 @@
 constexpr auto permil = 1'000.0;
 constexpr auto most_extras = 1e6;
 
-/// Seeds name the admin addresses of peers; datagrams go to their peer port.
-auto read_seeds(object_reader& reader, std::uint16_t peer_port, fault_list& faults)
-    -> std::vector<address>
+auto read_settings(object_reader& reader) -> entry_settings
 {
-    auto seeds = std::vector<address>{};
-    reader.each("seeds", [&](const auto& element, const auto& path) {
-        auto reason = error{};
-        const auto seed = element.is_string()
-                              ? parse_address(element.template get<std::string>(), reason)
-                              : std::nullopt;
-        if (!seed) {
-            faults.push_back({error_code::invalid_value, path, "expected IP:PORT"});
-            return;
-        }
-        seeds.push_back({seed->ip, peer_port});
-    });
-    return seeds;
-}
-
-} // namespace
-
-auto entry_settings_reader::read(std::string_view text) -> std::optional<entry_settings>
-{
-    faults_.clear();
-    auto reason = error{};
-    const auto json = parse_json(text, reason);
-    if (!json) {
-        faults_.push_back(reason);
-        return std::nullopt;
-    }
-    auto reader = object_reader{*json, "", faults_};
     const auto period = [&](std::string_view key) {
         return milliseconds{reader.integer(key, 1, longest_period_ms)};
     };
@@ -57,7 +28,10 @@
     value.admin_address = reader.endpoint("admin_address");
     value.peer_address = reader.endpoint("peer_address");
     value.store_address = reader.endpoint("store_address");
-    value.seeds = read_seeds(reader, value.peer_address.port, faults_);
+    // Seeds name the admin addresses of peers; datagrams go to their peer port.
+    for (const auto& seed : reader.endpoints("seeds")) {
+        value.seeds.push_back({seed.ip, value.peer_address.port});
+    }
     value.address_lifetime = period("address_lifetime_ms");
     value.stop_grace = seconds_at("stop_grace_s");
     value.extras.window = seconds_at("extra_window_s");
@@ -66,8 +40,14 @@
         static_cast<std::uint32_t>(reader.number("processor_share", 0.0, most_cores) *
                                    reader.number("cores", 0.0, most_cores) * permil);
     value.extras.allowance = reader.number("extra_allowance", 0.0, most_extras);
-    reader.finish();
-    return faults_.empty() ? std::optional{std::move(value)} : std::nullopt;
+    return value;
+}
+
+} // namespace
+
+auto entry_settings_reader::read(std::string_view text) -> std::optional<entry_settings>
+{
+    return read_document(text, faults_, read_settings);
 }
 
 } // namespace knapweedchute
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -77,7 +77,6 @@
     }
     const auto left = known->second;
     left->ended = true;
-    counters_->add(counter::parts_cancelled);
     release(*left, true);
 }
 
@@ -216,6 +215,7 @@
         if (useful) {
             ended.answer = std::move(result.answer);
             for (const auto& [other, since] : ended.live) {
+                counters_->add(counter::parts_cancelled);
                 port_->cancel(other);
             }
         } else {
@@ -329,6 +329,7 @@
             waiting_.erase({of.way->priority, of.deadline, of.id, index});
         }
     }
+    counters_->add(counter::parts_cancelled, live.size());
     calls_.erase(of.id);
     const auto cancel = [port = port_, live] {
         for (const auto exchange : live) {
--- a/src/target/target_registry.cpp
+++ b/src/target/target_registry.cpp
@@ -5,7 +5,7 @@
 
 namespace knapweedchute {
 
-auto target_registry::put(target_record record, time_point now) -> void
+auto target_registry::put(target_record record) -> void
 {
     const auto known = entries_.find(record.id);
     const auto disowned = known != entries_.end() && known->second.disowned &&
@@ -13,13 +13,12 @@
     if (known != entries_.end()) {
         unlist(known->second);
     }
-    const auto cold_until = now + record.cold_for;
     auto shared = std::make_shared<const target_record>(std::move(record));
     auto& list = by_service_[shared->service];
     list.all.push_back(shared);
     list.current = false;
     const auto id = shared->id;
-    entries_[id] = {std::move(shared), cold_until, std::nullopt, disowned};
+    entries_[id] = {std::move(shared), std::nullopt, disowned};
 }
 
 auto target_registry::remove(const std::string& id, std::optional<time_point> hold_until) -> void
@@ -131,12 +130,6 @@
            !zones_out_.contains(record.availability_zone);
 }
 
-auto target_registry::is_cold(const target_record& record, time_point now) const -> bool
-{
-    const auto known = entries_.find(record.id);
-    return known != entries_.end() && now < known->second.cold_until;
-}
-
 auto target_registry::unlist(const entry& known) -> void
 {
     auto& list = by_service_[known.record->service];
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -22,6 +22,15 @@
         sleep 0.05
     done
 }
+ends_well() { # PID LIMIT_SECONDS WHAT
+    local end=$((SECONDS + $2)) code=0
+    while kill -0 "$1" 2>/dev/null; do
+        [ "$SECONDS" -lt "$end" ] || fail "$3: still running after $2 s"
+        sleep 0.05
+    done
+    wait "$1" || code=$?
+    [ "$code" = 0 ] || fail "$3: exit code $code"
+}
 entry_settings() { # NAME IP_LAST_BYTE ZONE LIFETIME_MS
     cat >"$work/$1.json" <<JSON
 {"instance": "$1", "availability_zone": "$3", "deployment": "process-test",
--- a/tests/process/entry_daemon.sh
+++ b/tests/process/entry_daemon.sh
@@ -37,12 +37,5 @@
 kill -HUP "${pids[-1]}"
 until_true 5 "settings read again" grep -q "Settings read again. valid=true" "$work/log"
 kill -TERM "${pids[-1]}"
-code=0
-end=$((SECONDS + 4))
-while kill -0 "${pids[-1]}" 2>/dev/null; do
-    [ "$SECONDS" -lt "$end" ] || fail "still running after the grace"
-    sleep 0.05
-done
-wait "${pids[-1]}" || code=$?
-[ "$code" = 0 ] || fail "exit code $code"
+ends_well "${pids[-1]}" 4 "stop within the grace"
 echo passed
--- a/tests/process/signals.sh
+++ b/tests/process/signals.sh
@@ -4,15 +4,6 @@
 run "$bin/platform_stand_in" 127.0.0.1:23000
 entry_settings one 1 a 500
 entry_settings slow 1 a 60000
-ends_well() { # PID LIMIT_SECONDS WHAT
-    local end=$((SECONDS + $2)) code=0
-    while kill -0 "$1" 2>/dev/null; do
-        [ "$SECONDS" -lt "$end" ] || fail "$3: still running after $2 s"
-        sleep 0.05
-    done
-    wait "$1" || code=$?
-    [ "$code" = 0 ] || fail "$3: exit code $code"
-}
 answers() { curl -s -m 1 http://127.0.0.1:23010/v1/addresses; }
 
 run "$bin/knapweedchuted" --quiet --settings "$work/one.json"
--- a/tests/unit/query_coordinator_test.cpp
+++ b/tests/unit/query_coordinator_test.cpp
@@ -55,6 +55,18 @@
         driver.advance(deadline);
     }
 
+    auto tally() -> version_tally { return driver.coordinator(0).tallies().begin()->second; }
+
+    /// Counts so far, after which every target takes ten times as long.
+    auto slow_down_after_usual_load() -> version_tally
+    {
+        load(200, milliseconds{2});
+        for (auto& [address, fake] : driver.targets()) {
+            fake.latency = milliseconds{20};
+        }
+        return tally();
+    }
+
     auto last_answer() -> const query_answer&
     {
         return std::get<query_answer>(driver.results().back().result);
@@ -339,44 +351,32 @@
 
 BOOST_AUTO_TEST_CASE(tally_slow_on_first_connections_counts_nothing)
 {
-    load(200, milliseconds{2});
-    const auto before = driver.coordinator(0).tallies().begin()->second;
-    for (auto& [address, fake] : driver.targets()) {
-        fake.latency = milliseconds{20};
-    }
+    const auto before = slow_down_after_usual_load();
     driver.distort = [](part_answer& answer) { answer.opened_connection = true; };
     load(6, milliseconds{30});
-    const auto after = driver.coordinator(0).tallies().begin()->second;
+    const auto after = tally();
     BOOST_TEST(after.queries == before.queries + 6);
     BOOST_TEST(after.slow == before.slow);
 }
 
 BOOST_AUTO_TEST_CASE(tally_slow_on_every_connection_counts)
 {
-    load(200, milliseconds{2});
-    const auto before = driver.coordinator(0).tallies().begin()->second;
-    for (auto& [address, fake] : driver.targets()) {
-        fake.latency = milliseconds{20};
-    }
+    const auto before = slow_down_after_usual_load();
     driver.distort = [](part_answer& answer) { answer.opened_connection = true; };
     load(40, milliseconds{60});
-    const auto after = driver.coordinator(0).tallies().begin()->second;
+    const auto after = tally();
     BOOST_TEST(after.slow >= before.slow + 10);
 }
 
 BOOST_AUTO_TEST_CASE(tally_burst_of_slow_queries_counts_once)
 {
-    load(200, milliseconds{2});
-    const auto before = driver.coordinator(0).tallies().begin()->second;
-    for (auto& [address, fake] : driver.targets()) {
-        fake.latency = milliseconds{20};
-    }
+    const auto before = slow_down_after_usual_load();
     // Twenty queries at once, as a stall of the machine leaves them.
     for (auto sent = 0; sent < 20; ++sent) {
         driver.search(0, deadline, 1.0);
     }
     driver.advance(deadline);
-    const auto after = driver.coordinator(0).tallies().begin()->second;
+    const auto after = tally();
     BOOST_TEST(after.queries == before.queries + 20);
     BOOST_TEST(after.slow >= before.slow + 1);
     BOOST_TEST(after.slow <= before.slow + 2);
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -57,7 +57,7 @@
 
     auto add_target(const std::string& id, const std::string& service) -> void
     {
-        registry.put({id, service, {}, "a", "v1", 2, 1, false, milliseconds{0}}, timers.now());
+        registry.put({id, service, {}, "a", "v1", 2, 1, false, milliseconds{0}});
     }
 
     /// A good answer whose proof and record name the target.
--- a/tests/unit/relay/relay_parts_test.cpp
+++ b/tests/unit/relay/relay_parts_test.cpp
@@ -127,7 +127,7 @@
 BOOST_AUTO_TEST_CASE(registry_vanished_entry_is_held_and_then_dropped)
 {
     auto registry = target_registry{};
-    registry.put(target("x"), at(0));
+    registry.put(target("x"));
     registry.remove("x", at(2'000));
     registry.expire(at(1'999));
     BOOST_TEST(registry.usable("s").size() == 1U);
@@ -138,9 +138,9 @@
 BOOST_AUTO_TEST_CASE(registry_entry_that_returns_is_kept)
 {
     auto registry = target_registry{};
-    registry.put(target("x"), at(0));
+    registry.put(target("x"));
     registry.remove("x", at(2'000));
-    registry.put(target("x"), at(1'000));
+    registry.put(target("x"));
     registry.expire(at(5'000));
     BOOST_TEST(registry.usable("s").size() == 1U);
 }
@@ -148,11 +148,11 @@
 BOOST_AUTO_TEST_CASE(registry_disowned_lifetime_stays_out_a_new_one_comes_in)
 {
     auto registry = target_registry{};
-    registry.put(target("x", 1), at(0));
+    registry.put(target("x", 1));
     registry.disown("x", 1);
-    registry.put(target("x", 1), at(1));
+    registry.put(target("x", 1));
     BOOST_TEST(registry.usable("s").empty());
-    registry.put(target("x", 2), at(2));
+    registry.put(target("x", 2));
     BOOST_TEST(registry.usable("s").size() == 1U);
 }
 
@@ -161,8 +161,8 @@
     auto registry = target_registry{};
     auto leaving = target("x");
     leaving.draining = true;
-    registry.put(leaving, at(0));
-    registry.put(target("y"), at(0));
+    registry.put(leaving);
+    registry.put(target("y"));
     BOOST_TEST(registry.usable("s").size() == 1U);
     registry.take_zone_out("a", true);
     BOOST_TEST(registry.usable("s").empty());
@@ -175,8 +175,8 @@
     auto registry = target_registry{};
     auto next = target("x");
     next.version = "v2";
-    registry.put(next, at(0));
-    registry.put(target("y"), at(0));
+    registry.put(next);
+    registry.put(target("y"));
     registry.hold_version("s", "v2");
     BOOST_TEST(registry.usable("s").size() == 1U);
     BOOST_TEST(!registry.may_use(next));
