Moves between versions and the limit of cold targets on the users' platform; one look at the clock per end

Ruled out: handing everything over and reporting in one step (the old targets stop at the report, what is in progress there would break); a share per instance of less than one request a second to a cold target (84 instances could send at once); a target's own answer about its warmth (no). Change: move_keeper (decisions without I/O), move_driver (turns, evidence), move_codec in platform/; version_counter shared by both daemons; cold_limiter with shares among rendezvous owners; the store client's write under a condition. decide_move wants 20 requests also after a trial in one step. The test clock now can creep; the new test fails with the fault (25 of 50) and passes without.

--- a/daemons/knapweedchute_entryd.cpp
+++ b/daemons/knapweedchute_entryd.cpp
@@ -52,6 +52,7 @@
     auto store = platform::store_client{instance.loop(), instance.timers(), values.store_address};
     auto listener = platform::view_feed{instance.timers(), store, instance.view(), instance.peers(),
                                         instance.peers().self()};
+    instance.carry_out_moves(listener);
     instance.follow(store, listener, std::string{platform::operator_prefix});
     auto signals = boost::asio::signal_set{instance.loop(), SIGTERM, SIGINT, SIGHUP};
     handle_signals(signals, instance, path);
--- a/include/knapweedchute/entry/cluster_view.hpp
+++ b/include/knapweedchute/entry/cluster_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <knapweedchute/move/move_keeper.hpp>
 #include <knapweedchute/route/route_table.hpp>
 #include <knapweedchute/target/target_registry.hpp>
 
@@ -8,10 +9,13 @@
 
 namespace knapweedchute {
 
-/// \brief What an instance believes of routes and targets.
+/// \brief What an instance believes of routes, targets and moves between versions.
 class cluster_view
 {
 public:
+    /// \param source Number of this start of this instance, unlike any other.
+    explicit cluster_view(std::uint64_t source) : moves_{targets_, versions_, source} {}
+
     /// \brief Takes a route table over unless it is older than the one in force.
     /// \returns Whether it was taken over.
     auto adopt(std::shared_ptr<const route_table> table) -> bool;
@@ -28,10 +32,14 @@
     }
     [[nodiscard]] auto targets() noexcept -> target_registry& { return targets_; }
     [[nodiscard]] auto targets() const noexcept -> const target_registry& { return targets_; }
+    [[nodiscard]] auto versions() noexcept -> version_watch& { return versions_; }
+    [[nodiscard]] auto moves() noexcept -> move_keeper& { return moves_; }
 
 private:
     std::shared_ptr<const route_table> table_;
     target_registry targets_;
+    version_watch versions_;
+    move_keeper moves_;
     bool targets_known_ = false;
 };
 
--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -5,11 +5,13 @@
 #include <knapweedchute/entry/entry_interface.hpp>
 #include <knapweedchute/entry/entry_settings.hpp>
 #include <knapweedchute/entry/fixed_handler.hpp>
+#include <knapweedchute/entry/move_driver.hpp>
 #include <knapweedchute/entry/relay_handler.hpp>
 #include <knapweedchute/feed/feed_handler.hpp>
 #include <knapweedchute/feed/feed_keeper.hpp>
 #include <knapweedchute/feed/peer_feed_source.hpp>
 #include <knapweedchute/membership/address_choice.hpp>
+#include <knapweedchute/membership/ownership.hpp>
 #include <knapweedchute/net/asio_timer_queue.hpp>
 #include <knapweedchute/net/caller_listener.hpp>
 #include <knapweedchute/net/connection_pool.hpp>
@@ -44,6 +46,10 @@
     /// \param fresh_prefix Keys of which no old state will do.
     auto follow(feed_source& store, feed_listener& listener, std::string fresh_prefix) -> void;
 
+    /// \brief Starts to carry out ordered moves between versions.
+    /// \param writer Stores their records.
+    auto carry_out_moves(record_writer& writer) -> void { move_driver_.start(writer); }
+
     /// \brief Serves until `stop` has come to its end.
     auto run() -> void { loop_.run(); }
 
@@ -62,6 +68,7 @@
     [[nodiscard]] auto peer_feed(const member& peer) -> feed_source&;
     [[nodiscard]] auto sharers() const -> std::size_t;
     [[nodiscard]] auto connection_share(const target_record& target) const -> std::size_t;
+    [[nodiscard]] auto cold_share(const target_record& target) const -> std::optional<double>;
     [[nodiscard]] auto answer_readiness() const -> relayed_answer;
     [[nodiscard]] auto answer_addresses() -> relayed_answer;
     [[nodiscard]] auto answer_metrics() const -> relayed_answer;
@@ -74,7 +81,9 @@
     asio_timer_queue timers_{loop_};
     cluster_view view_;
     peer_port peers_;
+    move_driver move_driver_;
     extra_window extras_;
+    cold_limiter cold_;
     connection_pool pool_;
     relay_coordinator coordinator_;
     address_choice choice_;
@@ -91,6 +100,7 @@
     std::map<address, std::unique_ptr<peer_feed_source>> peer_feeds_;
     std::optional<feed_keeper> keeper_;
     std::size_t instances_ = 1;
+    ownership owners_{{}}; ///< Among all that may live, also those believed dead.
     std::size_t preferred_ = 0;
     bool is_preferred_ = false;
     time_point instances_noted_;
--- a/include/knapweedchute/feed/feed_listener.hpp
+++ b/include/knapweedchute/feed/feed_listener.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <knapweedchute/core/time.hpp>
+#include <knapweedchute/feed/feed_event.hpp>
 
 #include <optional>
 #include <set>
@@ -18,7 +19,7 @@
     virtual ~feed_listener() = default;
 
     /// \brief A key holds a value.
-    virtual auto put(const std::string& key, const std::string& value) -> void = 0;
+    virtual auto put(const feed_event& state) -> void = 0;
 
     /// \brief A key is gone.
     /// \param hold_until Until when what it named may stay in use all the same.
--- a/include/knapweedchute/net/peer_port.hpp
+++ b/include/knapweedchute/net/peer_port.hpp
@@ -35,6 +35,15 @@
     /// \brief Tells peers which configuration is in force here.
     auto set_configuration(std::uint64_t version) -> void;
 
+    /// \brief Tells a few peers what was counted for moves between versions.
+    auto tell_evidence(const std::vector<evidence_row>& rows) -> void;
+
+    /// \brief Calls `heard` with what peers have counted.
+    auto on_evidence(std::function<void(const std::vector<evidence_row>&)> heard) -> void
+    {
+        heard_ = std::move(heard);
+    }
+
     [[nodiscard]] auto members() const -> std::vector<member> { return membership_.members(); }
     [[nodiscard]] auto self() const -> const member& { return membership_.self(); }
 
@@ -51,6 +60,7 @@
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 2'048> input_{};
+    std::function<void(const std::vector<evidence_row>&)> heard_;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/query/query_coordinator.hpp
+++ b/include/knapweedchute/query/query_coordinator.hpp
@@ -7,8 +7,8 @@
 #include <knapweedchute/query/query_progress.hpp>
 #include <knapweedchute/query/run_coordinator.hpp>
 #include <knapweedchute/query/target_table.hpp>
+#include <knapweedchute/query/version_counter.hpp>
 #include <knapweedchute/query/version_split.hpp>
-#include <knapweedchute/query/version_tally.hpp>
 
 #include <map>
 #include <memory>
@@ -90,10 +90,7 @@
     [[nodiscard]] auto service() const noexcept -> const service_spec& { return service_; }
     [[nodiscard]] auto targets() const noexcept -> const target_table& { return table_; }
     [[nodiscard]] auto hedges() const noexcept -> const hedge_policy& { return hedges_; }
-    [[nodiscard]] auto tallies() const noexcept -> const std::map<std::string, version_tally>&
-    {
-        return tallies_;
-    }
+    [[nodiscard]] auto tallies() const -> std::map<std::string, version_tally>;
     /// @}
 
 private:
@@ -148,7 +145,6 @@
         -> void;
     [[nodiscard]] auto attempt_limit() const -> duration;
     auto note_connection(query_key key, const part_answer& answer, target_state& target) -> void;
-    auto count_interval(const std::string& version, bool slow, time_point now) -> void;
     auto tally(const impl::query_progress& progress, time_point now) -> void;
 
     target_table table_;
@@ -166,8 +162,7 @@
     std::map<served_shard, waiting_list> waiting_;
     std::size_t waiting_count_ = 0;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
-    std::map<std::string, version_tally> tallies_;
-    std::map<std::string, impl::observed_intervals> intervals_;
+    std::map<std::string, version_counter> counters_by_version_;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/query/query_progress.hpp
+++ b/include/knapweedchute/query/query_progress.hpp
@@ -51,13 +51,6 @@
     bool opened_connection = false; ///< A part waited for a first connection: its time is no proof.
 };
 
-/// \brief The intervals that were counted last for one version.
-struct observed_intervals
-{
-    duration::rep last = -1;
-    duration::rep last_slow = -1;
-};
-
 /// \brief One attempt in progress.
 struct attempt_progress
 {
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <knapweedchute/core/counter_set.hpp>
+#include <knapweedchute/move/version_watch.hpp>
 #include <knapweedchute/relay/extra_window.hpp>
 #include <knapweedchute/relay/header_names.hpp>
 #include <knapweedchute/relay/impl/relay_call.hpp>
@@ -28,6 +29,8 @@
     exchange_port& port;       ///< Way to the targets.
     timer_queue& timers;       ///< Time.
     extra_window& extras;      ///< Budget of hedges and retries.
+    cold_limiter& cold;        ///< Limit of requests to cold targets.
+    version_watch& versions;   ///< Counts requests of services that move between versions.
     counter_set& counters;     ///< Receives what happened.
 };
 
@@ -88,6 +91,8 @@
     [[nodiscard]] auto may_retry(const call& of, const part& failed, const exchange_result& result)
         -> bool;
     [[nodiscard]] auto is_useful(const exchange_result& result) const -> bool;
+    auto note_end(const call& of, const target_record& target, time_point sent,
+                  const exchange_result& result) -> void;
     auto hedge_stragglers(const shared_call& of) -> void;
     auto hedge(const shared_call& of, std::size_t index) -> void;
     auto on_goal(const shared_call& of) -> void;
@@ -107,6 +112,8 @@
     exchange_port* port_;
     timer_queue* timers_;
     extra_window* extras_;
+    cold_limiter* cold_;
+    version_watch* versions_;
     counter_set* counters_;
     replica_placing placing_;
     route_pace pace_;
--- a/include/knapweedchute/target/target_registry.hpp
+++ b/include/knapweedchute/target/target_registry.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <knapweedchute/target/target_record.hpp>
+#include <knapweedchute/target/version_rule.hpp>
 
 #include <map>
 #include <memory>
@@ -41,12 +42,11 @@
     /// \brief Notes whether an availability zone is taken out.
     auto take_zone_out(const std::string& zone, bool out) -> void;
 
-    /// \brief Keeps requests from the targets of one version of a service, or lets them come.
-    /// \param version The version to keep out; empty for none.
-    auto hold_version(const std::string& service, const std::string& version) -> void;
+    /// \brief Sets how much the targets of one version of a service get; nothing lifts the rule.
+    auto set_version_rule(const std::string& service, std::optional<version_rule> rule) -> void;
 
-    /// \brief Services of which a version is kept out.
-    [[nodiscard]] auto held_services() const -> std::set<std::string>;
+    /// \brief The rule for a version of a service; null if there is none.
+    [[nodiscard]] auto rule_of(const std::string& service) const -> const version_rule*;
 
     /// \brief Availability zones that are taken out.
     [[nodiscard]] auto zones_out() const -> std::set<std::string> { return zones_out_; }
@@ -85,7 +85,7 @@
     std::map<std::string, entry> entries_;
     std::unordered_map<std::string, service_targets> by_service_;
     std::set<std::string> zones_out_;
-    std::map<std::string, std::string> held_versions_;
+    std::map<std::string, version_rule> version_rules_;
 };
 
 } // namespace knapweedchute
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace knapweedchute {
@@ -21,6 +22,8 @@
 constexpr auto finish_time = milliseconds{800};
 /// Callers keep an address answer for up to three lifetimes, and peers name it a little longer.
 constexpr auto address_lifetimes_kept = 4;
+/// Longer than the pause between two requests to a cold target that is paced slowest.
+constexpr auto cold_memory = seconds{60};
 constexpr auto stop_poll = milliseconds{20};
 constexpr auto status_ok = 200U;
 const auto log_line = logger{"entry"};
@@ -42,17 +45,16 @@
 
 entry_instance::entry_instance(const entry_settings& values, entry_interface names,
                                std::uint64_t incarnation)
-    : settings_{values}, names_{std::move(names)}, peers_{loop_, timers_,
-                                                          self_of(values, incarnation),
-                                                          values.seeds, codec_of(values)},
-      extras_{values.extras}, pool_{loop_, timers_, names_.headers,
-                                    [this](const auto& target) {
-                                        return connection_share(target);
-                                    }},
+    : settings_{values}, names_{std::move(names)}, view_{incarnation},
+      peers_{loop_, timers_, self_of(values, incarnation), values.seeds, codec_of(values)},
+      move_driver_{timers_, view_.moves(), peers_}, extras_{values.extras},
+      cold_{[this](const auto& target) { return cold_share(target); }},
+      pool_{loop_, timers_, names_.headers,
+            [this](const auto& target) { return connection_share(target); }},
       coordinator_{{},
                    names_.headers,
                    values.availability_zone,
-                   {view_.targets(), pool_, timers_, extras_, counters_},
+                   {view_.targets(), pool_, timers_, extras_, cold_, view_.versions(), counters_},
                    incarnation},
       choice_{incarnation}, relay_{view_, coordinator_},
       readiness_{{{names_.readiness_path, [this](const auto&) { return answer_readiness(); }}}},
@@ -138,6 +140,7 @@
     pool_.sweep([&](const auto& target) { return targets.may_use(target); });
     coordinator_.retry_waiting();
     coordinator_.forget_unknown();
+    cold_.forget_before(now - cold_memory);
     count_members();
     if (!stopping_ && view_.ready() && peers_.self().state == member_state::joining) {
         peers_.announce(member_state::alive);
@@ -150,6 +153,13 @@
 {
     const auto now = timers_.now();
     const auto members = peers_.members();
+    auto names = std::vector<std::string>{};
+    for (const auto& known : members) {
+        if (known.state != member_state::left) {
+            names.push_back(known.instance);
+        }
+    }
+    owners_ = ownership{std::move(names)};
     const auto serving = static_cast<std::size_t>(std::count_if(
         members.begin(), members.end(), [](const auto& known) { return known.serving(); }));
     if (serving >= instances_ || now - instances_noted_ > instances_remembered_for) {
@@ -182,6 +192,19 @@
     return std::max<std::size_t>(static_cast<std::size_t>(divided) / sharers(), 1);
 }
 
+auto entry_instance::cold_share(const target_record& target) const -> std::optional<double>
+{
+    const auto limit =
+        view_.table() ? view_.table()->rules(target.service).cold_requests_per_second : 0.0;
+    if (limit <= 0.0) {
+        return std::nullopt;
+    }
+    // Whole requests only: with a fraction of one a second each, all together could send at once.
+    const auto owners = owners_.owners(target.where, std::llround(limit));
+    const auto among = std::find(owners.begin(), owners.end(), settings_.instance);
+    return among == owners.end() ? 0.0 : limit / static_cast<double>(owners.size());
+}
+
 auto entry_instance::answer_readiness() const -> relayed_answer
 {
     const auto ready = view_.ready() && !stopping_;
--- a/src/feed/feed_keeper.cpp
+++ b/src/feed/feed_keeper.cpp
@@ -88,7 +88,7 @@
     auto keys = std::set<std::string>{};
     for (const auto& [key, event] : reading_) {
         keys.insert(key);
-        listener_->put(key, event.value);
+        listener_->put(event);
     }
     listener_->complete(keys, hold());
     cache_.reset(std::exchange(reading_, {}), reading_revision_);
@@ -137,7 +137,7 @@
         if (event.deleted) {
             listener_->remove(event.key, hold());
         } else {
-            listener_->put(event.key, event.value);
+            listener_->put(event);
         }
     }
     cache_.apply(reply.page);
--- a/src/move/move_plan.cpp
+++ b/src/move/move_plan.cpp
@@ -9,6 +9,8 @@
 constexpr auto queries_per_step = std::uint64_t{50};
 constexpr auto queries_of_proof = std::uint64_t{1'000};
 constexpr auto whole = std::int64_t{1'000};
+/// Queries without which nothing is known of a version, not even after a trial in one step.
+constexpr auto fewest_queries = std::uint64_t{20};
 
 } // namespace
 
@@ -27,7 +29,8 @@
     const auto step = std::min<std::size_t>(view.new_version.queries / queries_per_step, last);
     const auto proved = view.new_version.queries >= queries_per_step * last + queries_of_proof;
     const auto due = view.unix_s >= spec.finish_by_unix_s;
-    if (proved || (due && step == last)) {
+    const auto known = step == last && view.new_version.queries >= fewest_queries;
+    if (proved || (due && known)) {
         return {whole, move_result::finished, move_fault::none};
     }
     if (due) {
--- a/src/net/peer_port.cpp
+++ b/src/net/peer_port.cpp
@@ -55,6 +55,11 @@
     membership_.set_configuration(version, no_proof_ms);
 }
 
+auto peer_port::tell_evidence(const std::vector<evidence_row>& rows) -> void
+{
+    send(membership_.tell_evidence(rows));
+}
+
 auto peer_port::receive() -> void
 {
     socket_.async_receive_from(boost::asio::buffer(input_), sender_,
@@ -77,6 +82,9 @@
         log_line.warning("Datagram refused.", {{"reason", to_string(reason)}});
         return;
     }
+    if (!message->evidence.empty() && heard_) {
+        heard_(message->evidence);
+    }
     send(membership_.receive(*message, timers_->now()));
 }
 
--- a/src/query/query_coordinator.cpp
+++ b/src/query/query_coordinator.cpp
@@ -19,8 +19,7 @@
 {
     const auto same_move = service_.move == view.service.move;
     if (!same_move) {
-        tallies_.clear();
-        intervals_.clear();
+        counters_by_version_.clear();
         new_version_share_permil_ = 0;
     }
     service_ = view.service;
@@ -28,6 +27,15 @@
     return tick(now);
 }
 
+auto query_coordinator::tallies() const -> std::map<std::string, version_tally>
+{
+    auto counts = std::map<std::string, version_tally>{};
+    for (const auto& [version, counter] : counters_by_version_) {
+        counts[version] = counter.tally();
+    }
+    return counts;
+}
+
 auto query_coordinator::allow_until(time_point until) -> void
 {
     allowed_until_ = until;
--- a/src/query/query_finish.cpp
+++ b/src/query/query_finish.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr auto slow_medians = std::int64_t{3};
-/// Time in which slow queries count once: longer than a scheduler's stall of a busy machine.
-constexpr auto observation_interval = milliseconds{50};
 /// Connections to one target whose making is no evidence of a slow version. A version that keeps
 /// closing its connections is judged by the time that this costs.
 constexpr auto excused_connections = std::size_t{8};
@@ -88,29 +86,12 @@
     if (progress.forwarded || !progress.sent) {
         return;
     }
-    auto& counts = tallies_[progress.version];
     const auto complete = progress.answered == progress.wanted;
     const auto usual = hedges_.latencies().usual_median();
     const auto slow = usual != duration::zero() && !progress.opened_connection &&
                       now - progress.started > usual * slow_medians;
-    counts.queries += 1;
-    counts.incomplete += complete ? 0 : 1;
-    counts.empty += complete && progress.hits.empty() ? 1 : 0;
-    count_interval(progress.version, slow, now);
-}
-
-auto query_coordinator::count_interval(const std::string& version, bool slow, time_point now)
-    -> void
-{
-    const auto interval = now.time_since_epoch() / observation_interval;
-    auto& counts = tallies_[version];
-    auto& seen = intervals_[version];
-    counts.intervals += seen.last != interval ? 1 : 0;
-    seen.last = interval;
-    if (slow && seen.last_slow != interval) {
-        counts.slow += 1;
-        seen.last_slow = interval;
-    }
+    counters_by_version_[progress.version].add({!complete, complete && progress.hits.empty(), slow},
+                                               now);
 }
 
 } // namespace knapweedchute
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -12,12 +12,20 @@
 constexpr auto status_server_error = 500U;
 constexpr auto status_success = 200U;
 constexpr auto status_redirect = 300U;
+/// Multiple of a route's usual time from which a request counts as slow for its version.
+constexpr auto slow_multiple = 3;
 
 auto path_of(const std::string& target) -> std::string_view
 {
     return std::string_view{target}.substr(0, target.find('?'));
 }
 
+/// Whether an end says nothing about how the target does its work.
+auto is_silent(exchange_end end) -> bool
+{
+    return provably_not_run(end) || end == exchange_end::unknown;
+}
+
 auto is_success(const relayed_answer& answer) -> bool
 {
     return answer.status >= status_success && answer.status < status_redirect;
@@ -29,8 +37,10 @@
                                      const std::string& own_zone, relay_parts parts,
                                      std::uint64_t seed)
     : policy_{policy}, names_{std::move(names)}, registry_{&parts.registry}, port_{&parts.port},
-      timers_{&parts.timers}, extras_{&parts.extras}, counters_{&parts.counters},
-      placing_{policy, own_zone, parts.registry, parts.port, seed}
+      timers_{&parts.timers}, extras_{&parts.extras}, cold_{&parts.cold},
+      versions_{&parts.versions}, counters_{&parts.counters}, placing_{policy,         own_zone,
+                                                                       parts.registry, parts.port,
+                                                                       parts.cold,     seed}
 {
 }
 
@@ -174,6 +184,7 @@
                        of->request.id, of->request.method != "HEAD", of->way->idempotent};
     sent.tried.push_back(where.target->id);
     placing_.load(where.target->id).on_send(now, pace_.usual(*of->way));
+    cold_->on_send(*where.target, now);
     counters_->add(counter::parts_sent);
     // The id is known only after the call, the listener runs only after it.
     auto id = std::make_shared<exchange_id>(0);
@@ -190,20 +201,36 @@
            find_field(result.answer.fields, names_.proof) != nullptr;
 }
 
-auto relay_coordinator::on_end(const shared_call& of, std::size_t index, time_point sent,
-                               exchange_id exchange,
-                               const std::shared_ptr<const target_record>& target,
-                               exchange_result result) -> void
+auto relay_coordinator::note_end(const call& of, const target_record& target, time_point sent,
+                                 const exchange_result& result) -> void
 {
     const auto now = timers_->now();
+    const auto elapsed = now - sent;
     const auto useful = is_useful(result);
-    const auto usual = pace_.usual(*of->way);
-    const auto given_up = of->ended && result.end == exchange_end::unknown;
+    const auto usual = pace_.usual(*of.way);
+    const auto given_up = of.ended && result.end == exchange_end::unknown;
     const auto stale_connection = result.end == exchange_end::broken && result.kept_connection;
-    placing_.load(target->id).on_end(sent, now, usual, !useful && !given_up && !stale_connection);
+    const auto failed = !useful && !given_up && !stale_connection;
+    placing_.load(target.id).on_end(sent, now, usual, failed);
+    if (!result.never_sent) {
+        // The making of a connection is no fault of a version, a refusal for want of room neither,
+        // and what was cancelled tells by its time alone.
+        const auto slow = result.kept_connection && elapsed > usual * slow_multiple;
+        versions_->add(target.service, target.version,
+                       {failed && !is_silent(result.end), false, slow}, now);
+    }
     if (useful) {
-        pace_.on_answer(*of->way, now - sent);
+        pace_.on_answer(*of.way, elapsed);
     }
+}
+
+auto relay_coordinator::on_end(const shared_call& of, std::size_t index, time_point sent,
+                               exchange_id exchange,
+                               const std::shared_ptr<const target_record>& target,
+                               exchange_result result) -> void
+{
+    const auto useful = is_useful(result);
+    note_end(*of, *target, sent, result);
     if (result.end == exchange_end::wrong_target) {
         registry_->disown(target->id, target->born_unix_ms);
     }
--- a/src/target/target_registry.cpp
+++ b/src/target/target_registry.cpp
@@ -81,23 +81,21 @@
     forget_usable();
 }
 
-auto target_registry::hold_version(const std::string& service, const std::string& version) -> void
+auto target_registry::set_version_rule(const std::string& service, std::optional<version_rule> rule)
+    -> void
 {
-    if (version.empty()) {
-        held_versions_.erase(service);
+    if (rule) {
+        version_rules_[service] = std::move(*rule);
     } else {
-        held_versions_[service] = version;
+        version_rules_.erase(service);
     }
-    forget_usable();
+    by_service_[service].current = false;
 }
 
-auto target_registry::held_services() const -> std::set<std::string>
+auto target_registry::rule_of(const std::string& service) const -> const version_rule*
 {
-    auto services = std::set<std::string>{};
-    for (const auto& [service, version] : held_versions_) {
-        services.insert(service);
-    }
-    return services;
+    const auto known = version_rules_.find(service);
+    return known == version_rules_.end() ? nullptr : &known->second;
 }
 
 auto target_registry::usable(const std::string& service) const -> const target_list&
@@ -120,8 +118,8 @@
 auto target_registry::may_use(const target_record& record) const -> bool
 {
     const auto known = entries_.find(record.id);
-    const auto held = held_versions_.find(record.service);
-    if (held != held_versions_.end() && held->second == record.version) {
+    const auto* rule = rule_of(record.service);
+    if (rule != nullptr && rule->use == version_use::held && rule->version == record.version) {
         return false;
     }
     return known != entries_.end() && !known->second.disowned &&
--- a/tests/support/manual_timer_queue.hpp
+++ b/tests/support/manual_timer_queue.hpp
@@ -11,7 +11,9 @@
 class manual_timer_queue final : public timer_queue
 {
 public:
-    [[nodiscard]] auto now() const -> time_point override { return now_; }
+    [[nodiscard]] auto now() const -> time_point override { return now_ += creep; }
+
+    duration creep{0}; ///< Time that passes with each look at the clock, as with a real one.
 
     auto at(time_point when, std::function<void()> work) -> timer_id override
     {
@@ -39,7 +41,7 @@
 
 private:
     std::map<std::pair<time_point, timer_id>, std::function<void()>> queue_;
-    time_point now_{seconds{1'000}};
+    mutable time_point now_{seconds{1'000}};
     timer_id next_ = 1;
 };
 
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -98,10 +98,7 @@
 class recording_listener final : public feed_listener
 {
 public:
-    auto put(const std::string& key, const std::string& value) -> void override
-    {
-        held[key] = value;
-    }
+    auto put(const feed_event& state) -> void override { held[state.key] = state.value; }
     auto remove(const std::string& key, std::optional<time_point> hold_until) -> void override
     {
         held.erase(key);
--- a/tests/unit/platform/codec_test.cpp
+++ b/tests/unit/platform/codec_test.cpp
@@ -1,5 +1,6 @@
 #include "config_codec.hpp"
 #include "member_codec.hpp"
+#include "move_codec.hpp"
 #include "store_client.hpp"
 #include "target_codec.hpp"
 
@@ -53,7 +54,7 @@
         std::string{R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,)"
                     R"("state":"ready","coldRemainingMs":0,"sequence":4,"born":12})"};
     auto reason = error{};
-    const auto record = platform::decode_target("i-1", good, reason);
+    const auto record = platform::decode_target("i-1", good, {}, reason);
     BOOST_REQUIRE(record);
     BOOST_TEST(record->born_unix_ms == 12);
     for (
@@ -61,7 +62,7 @@
         {"", "\xff\xfe", "[]", "{}", R"({"service":1})",
          R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,"state":"odd","coldRemainingMs":0})",
          R"({"service":"s","address":"nowhere","zone":"a","version":"v1","slots":2,"state":"ready","coldRemainingMs":0})"}) {
-        BOOST_TEST(!platform::decode_target("i-1", bad, reason).has_value());
+        BOOST_TEST(!platform::decode_target("i-1", bad, {}, reason).has_value());
     }
 }
 
@@ -76,6 +77,42 @@
     BOOST_TEST(read->incarnation == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(target_cold_time_counts_from_the_reading)
+{
+    auto reason = error{};
+    const auto record = platform::decode_target(
+        "i-1",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,"state":"ready","coldRemainingMs":400})",
+        time_point{seconds{5}}, reason);
+    BOOST_REQUIRE(record);
+    BOOST_TEST((record->cold_until == time_point{milliseconds{5'400}}));
+}
+
+BOOST_AUTO_TEST_CASE(move_order_is_numbered_by_its_revision)
+{
+    auto reason = error{};
+    const auto order = platform::decode_order(
+        "s", 17, R"({"service":"s","targetVersion":"v2","durationS":12.5})", reason);
+    BOOST_REQUIRE(order);
+    BOOST_TEST((*order == move_order{"s", "v2", milliseconds{12'500}, 17}));
+    BOOST_TEST(!platform::decode_order("s", 17, R"({"durationS":1})", reason).has_value());
+    BOOST_TEST(reason.where == "/targetVersion");
+}
+
+BOOST_AUTO_TEST_CASE(move_record_is_read_back_and_its_states_have_the_operators_words)
+{
+    auto reason = error{};
+    const auto ended = move_record{"v2", 17, 1'000, true, move_result::finished};
+    const auto text = platform::encode_record(ended);
+    BOOST_TEST((text.find(R"("state":"done")") != std::string::npos));
+    BOOST_TEST((platform::decode_record(text, reason) == ended));
+    const auto back = move_record{"v2", 17, 1'000, false, move_result::taken_back};
+    BOOST_TEST((platform::encode_record(back).find("rolled_back") != std::string::npos));
+    for (const auto* bad : {"", "[]", R"({"state":"odd","targetVersion":"v2"})"}) {
+        BOOST_TEST(!platform::decode_record(bad, reason).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(value_bad_base64_is_empty)
 {
     BOOST_TEST(platform::decode_value("bm9kZS0x") == "node-1");
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
 
 using namespace knapweedchute;
@@ -42,8 +43,12 @@
     target_registry registry;
     fake_exchange_port port{timers};
     extra_window extras{{0.2, 100.0, seconds{10}}};
+    std::optional<double> cold_share;
+    cold_limiter cold{[this](const auto& /*target*/) { return cold_share; }};
+    version_watch versions;
     counter_set counters;
-    relay_coordinator coordinator{{}, names, "a", {registry, port, timers, extras, counters}, 1};
+    relay_coordinator coordinator{
+        {}, names, "a", {registry, port, timers, extras, cold, versions, counters}, 1};
     std::vector<relayed_answer> answers;
 
     relay_fixture()
@@ -57,7 +62,7 @@
 
     auto add_target(const std::string& id, const std::string& service) -> void
     {
-        registry.put({id, service, {}, "a", "v1", 2, 1, false, milliseconds{0}});
+        registry.put({id, service, {}, "a", "v1", 2, 1, false, {}});
     }
 
     /// A good answer whose proof and record name the target.
@@ -376,4 +381,82 @@
     BOOST_TEST(text.starts_with("GET /one/x HTTP/1.1\r\nHost: h\r\nId: r1\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(relay_clock_that_never_stands_still_leaves_no_request_counted_as_open)
+{
+    timers.creep = std::chrono::nanoseconds{1};
+    registry.put({"one-y", "one", {}, "b", "v1", 2, 1, false, {}});
+    for (auto request = 0; request < 50; ++request) {
+        ask("/one/x");
+        timers.advance(milliseconds{100});
+    }
+    BOOST_TEST(port.sent_to("one-x") >= 45U);
+}
+
+BOOST_AUTO_TEST_CASE(relay_cold_target_gets_no_more_than_its_share_the_other_takes_over)
+{
+    cold_share = 2.0;
+    auto cold_one = target_record{"one-x", "one", {}, "a", "v1", 2, 1, false, {}};
+    cold_one.cold_until = timers.now() + seconds{100};
+    registry.put(cold_one);
+    for (auto request = 0; request < 100; ++request) {
+        ask("/one/x");
+        timers.advance(milliseconds{10});
+    }
+    timers.advance(milliseconds{100});
+    BOOST_TEST(port.sent_to("one-x") <= 3U);
+    BOOST_TEST(answers.size() == 100U);
+    BOOST_TEST(std::all_of(answers.begin(), answers.end(),
+                           [](const auto& answer) { return answer.status == 200U; }));
+}
+
+BOOST_AUTO_TEST_CASE(relay_only_cold_targets_without_a_share_is_refused_as_not_run)
+{
+    cold_share = 0.0;
+    for (const auto* id : {"one-x", "one-y"}) {
+        registry.put({id, "one", {}, "a", "v1", 2, 1, false, timers.now() + seconds{100}});
+    }
+    ask("/one/x");
+    BOOST_TEST(only_answer().status == 503U);
+    BOOST_TEST(!value("Retry-After").empty());
+    BOOST_TEST(port.sent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(relay_version_on_trial_gets_its_share_and_nothing_that_is_sent_again)
+{
+    add_target("one-new", "one");
+    registry.put({"one-new", "one", {}, "a", "v2", 2, 1, false, {}});
+    registry.set_version_rule("one", version_rule{"v2", version_use::on_trial, 80});
+    versions.begin("one", "v2");
+    port.answer = [this](const auto& order) {
+        return order.target->id == "one-new" ? fake_reply{milliseconds{1}, answered(500, {}, "")}
+                                             : reply_to(order);
+    };
+    for (auto request = 0; request < 500; ++request) {
+        ask("/one/x");
+        timers.advance(milliseconds{10});
+    }
+    timers.advance(milliseconds{100});
+    BOOST_TEST(port.sent_to("one-new") == 40U);
+    BOOST_TEST(std::all_of(answers.begin(), answers.end(),
+                           [](const auto& answer) { return answer.status == 200U; }));
+    const auto counts = versions.tallies("one");
+    BOOST_TEST(counts.new_version.queries == 40U);
+    BOOST_TEST(counts.new_version.incomplete == 40U);
+    BOOST_TEST(counts.old_version.incomplete == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(relay_version_preferred_gets_everything_old_targets_stand_in)
+{
+    registry.put({"one-x", "one", {}, "a", "v2", 2, 1, false, {}});
+    registry.set_version_rule("one", version_rule{"v2", version_use::preferred, 0});
+    ask("/one/x");
+    timers.advance(milliseconds{100});
+    BOOST_TEST(port.sent_to("one-x") == 1U);
+    registry.remove("one-x", std::nullopt);
+    ask("/one/x");
+    timers.advance(milliseconds{100});
+    BOOST_TEST(port.sent_to("one-y") == 1U);
+    BOOST_TEST(answers.back().status == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/relay/relay_parts_test.cpp
+++ b/tests/unit/relay/relay_parts_test.cpp
@@ -19,7 +19,7 @@
 
 auto target(const std::string& id, std::int64_t born = 1) -> target_record
 {
-    return {id, "s", {}, "a", "v1", 2, born, false, milliseconds{0}};
+    return {id, "s", {}, "a", "v1", 2, born, false, {}};
 }
 
 } // namespace
@@ -177,10 +177,10 @@
     next.version = "v2";
     registry.put(next);
     registry.put(target("y"));
-    registry.hold_version("s", "v2");
+    registry.set_version_rule("s", version_rule{"v2", version_use::held, 0});
     BOOST_TEST(registry.usable("s").size() == 1U);
     BOOST_TEST(!registry.may_use(next));
-    registry.hold_version("s", "");
+    registry.set_version_rule("s", std::nullopt);
     BOOST_TEST(registry.usable("s").size() == 2U);
 }
 
