Signs of life alone are not passed on between instances

Ruled out: fewer readers per zone (their part of the bytes is small; a lost one costs more then); a tree of followers (27 readers with some 105 followers each carry the target size once only news pass). Change: a listener says whether a state is news to it; the copy that peers are told from takes only these over, and its revision goes on all the same. target_registry::put compares; the end of a warm-up may move by 0.5 s. Peers that change their source hear the same news: readers of one history find the same entries new. Tests: a sign of life is not in the copy's changes, a change is; the registry's cases.

--- a/include/knapweedchute/feed/feed_keeper.hpp
+++ b/include/knapweedchute/feed/feed_keeper.hpp
@@ -55,6 +55,7 @@
     auto finish_reading() -> void;
     auto watch() -> void;
     auto on_watch(const feed_reply& reply) -> void;
+    auto tell_listener(const feed_event& event) -> bool;
     auto pick_source() -> feed_source&;
     auto note_loss() -> void;
     auto note_contact(bool unsettled) -> void;
--- a/include/knapweedchute/feed/feed_listener.hpp
+++ b/include/knapweedchute/feed/feed_listener.hpp
@@ -19,7 +19,8 @@
     virtual ~feed_listener() = default;
 
     /// \brief A key holds a value.
-    virtual auto put(const feed_event& state) -> void = 0;
+    /// \returns Whether it says anything that was not known: signs of life alone are not passed on.
+    virtual auto put(const feed_event& state) -> bool = 0;
 
     /// \brief A key is gone.
     /// \param hold_until Until when what it named may stay in use all the same.
--- a/include/knapweedchute/target/target_record.hpp
+++ b/include/knapweedchute/target/target_record.hpp
@@ -19,7 +19,7 @@
     std::int64_t slots = 1;        ///< Requests that it works on at once.
     std::int64_t born_unix_ms = 0; ///< Start of this lifetime, Unix milliseconds.
     bool draining = false;         ///< Whether it is leaving.
-    time_point cold_until;         ///< Until when it bears few requests only.
+    time_point cold_until;         ///< Until when it bears few requests only; zero: it is warm.
 
     [[nodiscard]] auto operator==(const target_record&) const -> bool = default;
 };
--- a/include/knapweedchute/target/target_registry.hpp
+++ b/include/knapweedchute/target/target_registry.hpp
@@ -24,7 +24,9 @@
     using target_list = std::vector<std::shared_ptr<const target_record>>;
 
     /// \brief Adds a target or replaces what is known of it.
-    auto put(target_record record) -> void;
+    /// \returns Whether anything is new; a few hundred milliseconds more or less of a warm-up are
+    ///          not.
+    auto put(target_record record) -> bool;
 
     /// \brief Notes that the entry of a target is gone from the list.
     /// \param hold_until Until when the target stays usable all the same, if any.
--- a/src/feed/feed_keeper.cpp
+++ b/src/feed/feed_keeper.cpp
@@ -2,6 +2,7 @@
 #include <knapweedchute/feed/feed_keeper.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace knapweedchute {
@@ -88,7 +89,7 @@
     auto keys = std::set<std::string>{};
     for (const auto& [key, event] : reading_) {
         keys.insert(key);
-        listener_->put(event);
+        std::ignore = listener_->put(event);
     }
     listener_->complete(keys, hold());
     cache_.reset(std::exchange(reading_, {}), reading_revision_);
@@ -133,14 +134,9 @@
         return;
     }
     note_contact(reply.page.unsettled);
-    for (const auto& event : reply.page.events) {
-        if (event.deleted) {
-            listener_->remove(event.key, hold());
-        } else {
-            listener_->put(event);
-        }
-    }
-    cache_.apply(reply.page);
+    auto news = reply.page;
+    std::erase_if(news.events, [this](const auto& event) { return !tell_listener(event); });
+    cache_.apply(news);
     if (changed_) {
         changed_();
     }
@@ -148,6 +144,15 @@
                 &feed_keeper::watch);
 }
 
+auto feed_keeper::tell_listener(const feed_event& event) -> bool
+{
+    if (event.deleted) {
+        listener_->remove(event.key, hold());
+        return true;
+    }
+    return listener_->put(event);
+}
+
 auto feed_keeper::pick_source() -> feed_source&
 {
     const auto before = followed_ ? followed_->instance : std::string{};
--- a/src/target/target_registry.cpp
+++ b/src/target/target_registry.cpp
@@ -4,10 +4,31 @@
 #include <utility>
 
 namespace knapweedchute {
+namespace {
 
-auto target_registry::put(target_record record) -> void
+/// How late an entry may come at one time and not at another: the end of a warm-up that is worked
+/// out from it moves by as much.
+constexpr auto warm_up_tolerance = milliseconds{500};
+
+auto says_the_same(const target_record& known, target_record said) -> bool
+{
+    const auto moved = known.cold_until > said.cold_until ? known.cold_until - said.cold_until
+                                                          : said.cold_until - known.cold_until;
+    if (moved <= warm_up_tolerance) {
+        said.cold_until = known.cold_until;
+    }
+    return known == said;
+}
+
+} // namespace
+
+auto target_registry::put(target_record record) -> bool
 {
     const auto known = entries_.find(record.id);
+    if (known != entries_.end() && !known->second.hold_until &&
+        says_the_same(*known->second.record, record)) {
+        return false;
+    }
     const auto disowned = known != entries_.end() && known->second.disowned &&
                           known->second.record->born_unix_ms == record.born_unix_ms;
     if (known != entries_.end()) {
@@ -19,6 +40,7 @@
     list.current = false;
     const auto id = shared->id;
     entries_[id] = {std::move(shared), std::nullopt, disowned};
+    return true;
 }
 
 auto target_registry::remove(const std::string& id, std::optional<time_point> hold_until) -> void
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -98,7 +98,12 @@
 class recording_listener final : public feed_listener
 {
 public:
-    auto put(const feed_event& state) -> void override { held[state.key] = state.value; }
+    auto put(const feed_event& state) -> bool override
+    {
+        const auto news = held[state.key] != state.value;
+        held[state.key] = state.value;
+        return news;
+    }
     auto remove(const std::string& key, std::optional<time_point> hold_until) -> void override
     {
         held.erase(key);
@@ -179,6 +184,22 @@
     BOOST_TEST(!listener.last_hold.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(feed_sign_of_life_alone_is_not_passed_on)
+{
+    start();
+    const auto before = keeper->copy()->revision();
+    auto beat = store.items.at("servers/a");
+    beat.revision = 20;
+    store.change(beat);
+    timers.advance(seconds{5});
+    BOOST_REQUIRE(keeper->copy() != nullptr);
+    BOOST_TEST(keeper->copy()->revision() == 20U);
+    BOOST_TEST(keeper->copy()->since(before)->events.empty());
+    store.change(event("servers/a", 21));
+    timers.advance(seconds{5});
+    BOOST_TEST(keeper->copy()->since(before)->events.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(feed_outage_keeps_what_is_known_and_holds_what_vanished)
 {
     start();
--- a/tests/unit/relay/relay_parts_test.cpp
+++ b/tests/unit/relay/relay_parts_test.cpp
@@ -170,6 +170,25 @@
     BOOST_TEST(registry.usable("s").size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(registry_entry_that_says_the_same_is_no_news)
+{
+    auto registry = target_registry{};
+    auto cold = target("x");
+    cold.cold_until = at(3'000);
+    BOOST_TEST(registry.put(cold));
+    cold.cold_until = at(3'400);
+    BOOST_TEST(!registry.put(cold));
+    cold.cold_until = at(3'600);
+    BOOST_TEST(registry.put(cold));
+    BOOST_TEST(registry.put(target("x")));
+    BOOST_TEST(!registry.put(target("x")));
+    registry.remove("x", at(5'000));
+    BOOST_TEST(registry.put(target("x")));
+    auto leaving = target("x");
+    leaving.draining = true;
+    BOOST_TEST(registry.put(leaving));
+}
+
 BOOST_AUTO_TEST_CASE(registry_version_that_is_held_gets_nothing)
 {
     auto registry = target_registry{};
