A request's way from its id to its cause: steps, bounded lines that never wait, histograms, knapweedctl explain

Ruled out: a line at each decision when it is made (20 to 110 parts a query; good ones would drown the rest) - steps are kept with the request and written once it ended badly; the logging library's asynchronous appender (a thread's wake-ups, and it waits when its queue is full); O_NONBLOCK on the output (others share it).

--- a/daemons/knapweedchute_entryd.cpp
+++ b/daemons/knapweedchute_entryd.cpp
@@ -49,7 +49,8 @@
         std::cerr << "knapweedchute-entryd: " << to_string(reason) << '\n';
         return knapweedchute::daemon::exit_not_started;
     }
-    auto store = platform::store_client{instance.loop(), instance.timers(), values.store_address};
+    auto store = platform::store_client{instance.loop(), instance.timers(), values.store_address,
+                                        instance.counters()};
     auto listener = platform::view_feed{instance.timers(), store, instance.view(), instance.peers(),
                                         instance.peers().self()};
     instance.carry_out_moves(listener);
--- a/daemons/knapweedctl.cpp
+++ b/daemons/knapweedctl.cpp
@@ -1,5 +1,6 @@
 // knapweedctl: the operators' command line.
 #include "ctl/commands.hpp"
+#include "ctl/explain.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -21,6 +22,7 @@
     ctl::command_options options;
     ctl::query_arguments query;
     ctl::post_arguments post;
+    ctl::explain_arguments explained;
     std::string file;
     std::string name;
     std::string version;
@@ -136,6 +138,15 @@
     addresses->callback([&] { line.run = [&] { return ctl::show_addresses(line.options); }; });
 }
 
+auto add_explain_command(CLI::App& app, command_line& line) -> void
+{
+    auto* explain = app.add_subcommand("explain", "Tell from logs why a request ended as it did");
+    explain->add_option("id", line.explained.request, "Identity of the request")->required();
+    explain->add_option("files", line.explained.files, "Logs of instances; none: standard input");
+    explain->callback(
+        [&] { line.run = [&] { return ctl::explain(line.explained, line.options.json); }; });
+}
+
 auto add_request_commands(CLI::App& app, command_line& line) -> void
 {
     auto* query = app.add_subcommand("query", "Send one search");
@@ -171,6 +182,7 @@
     add_move_command(app, line);
     add_view_commands(app, line);
     add_request_commands(app, line);
+    add_explain_command(app, line);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& failure) {
--- a/include/knapweedchute/core/counter.hpp
+++ b/include/knapweedchute/core/counter.hpp
@@ -34,6 +34,12 @@
     platform_failures,
     configurations_adopted,
     configurations_refused,
+    callers_left,
+    log_lines_held_back,
+    store_reads,
+    store_watches,
+    store_writes,
+    store_calls_lost,
     last ///< Number of counters, not a counter.
 };
 
--- a/include/knapweedchute/core/log.hpp
+++ b/include/knapweedchute/core/log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -18,7 +19,8 @@
 
 /// \brief Writes the lines of one part of the process, each with the part's prefix.
 ///
-/// \detail A line is a short sentence followed by `key=value` pairs:
+/// \detail A line is a short sentence followed by `key=value` pairs; a value with spaces, quotes
+///         or nothing in it is quoted:
 /// \code
 /// knapweedchute::logger{"config"}.info("Configuration adopted.", {{"version", "7"}});
 /// \endcode
@@ -41,8 +43,11 @@
     std::string part_;
 };
 
-/// \brief Sends all log lines to standard error.
-/// \param lowest Lines below this level are dropped.
+/// \brief Sends all log lines to standard output, and drops rather than waits for its reader.
+/// \param lowest Lines below this level are not written.
 auto start_logging(log_level lowest) -> void;
 
+/// \brief Lines dropped because the reader of the output was slow.
+[[nodiscard]] auto lost_log_lines() -> std::uint64_t;
+
 } // namespace knapweedchute
--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -58,12 +58,14 @@
 
     [[nodiscard]] auto loop() noexcept -> boost::asio::io_context& { return loop_; }
     [[nodiscard]] auto timers() noexcept -> timer_queue& { return timers_; }
+    [[nodiscard]] auto counters() noexcept -> counter_set& { return counters_; }
     [[nodiscard]] auto view() noexcept -> cluster_view& { return view_; }
     [[nodiscard]] auto peers() noexcept -> peer_port& { return peers_; }
 
 private:
     auto keep_house() -> void;
     auto count_members() -> void;
+    auto note_lag(time_point due) -> void;
     auto finish_stop(time_point last) -> void;
     [[nodiscard]] auto peer_feed(const member& peer) -> feed_source&;
     [[nodiscard]] auto sharers() const -> std::size_t;
@@ -96,6 +98,7 @@
     caller_listener directory_listener_;
     caller_listener admin_listener_;
     feed_handler feed_;
+    fixed_handler peer_pages_;
     caller_listener feed_listener_;
     std::map<address, std::unique_ptr<peer_feed_source>> peer_feeds_;
     std::optional<feed_keeper> keeper_;
@@ -104,6 +107,9 @@
     std::size_t preferred_ = 0;
     bool is_preferred_ = false;
     time_point instances_noted_;
+    duration longest_lag_{0};           ///< Of the loop, lately.
+    std::optional<time_point> adopted_; ///< When the table in force was.
+    std::uint64_t adopted_version_ = 0;
     bool stopping_ = false;
 };
 
--- a/include/knapweedchute/relay/impl/relay_call.hpp
+++ b/include/knapweedchute/relay/impl/relay_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <knapweedchute/relay/exchange_port.hpp>
+#include <knapweedchute/relay/impl/trace_entry.hpp>
 #include <knapweedchute/relay/relayed_answer.hpp>
 #include <knapweedchute/relay/relayed_request.hpp>
 #include <knapweedchute/relay/timer_queue.hpp>
@@ -28,6 +29,7 @@
     bool may_have_run = false;              ///< Some target may have worked on it.
     std::optional<relayed_answer> answer;   ///< Useful answer.
     std::optional<relayed_answer> failure;  ///< Latest failure that a target told.
+    std::vector<trace_entry> steps;         ///< What was done and why, for the log.
 
     [[nodiscard]] auto done() const noexcept -> bool { return failed || answer.has_value(); }
 };
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -5,7 +5,9 @@
 #include <knapweedchute/relay/extra_window.hpp>
 #include <knapweedchute/relay/header_names.hpp>
 #include <knapweedchute/relay/impl/relay_call.hpp>
+#include <knapweedchute/relay/relay_metrics.hpp>
 #include <knapweedchute/relay/replica_placing.hpp>
+#include <knapweedchute/relay/request_log.hpp>
 #include <knapweedchute/relay/route_pace.hpp>
 #include <knapweedchute/route/weighted_split.hpp>
 
@@ -68,6 +70,9 @@
     /// \brief Forgets what is known of targets that left.
     auto forget_unknown() -> void { placing_.forget_unknown(); }
 
+    /// \brief Times and ends of requests.
+    [[nodiscard]] auto metrics() const noexcept -> const relay_metrics& { return metrics_; }
+
     /// \brief Requests in progress.
     [[nodiscard]] auto in_progress() const noexcept -> std::size_t { return calls_.size(); }
 
@@ -82,7 +87,9 @@
     auto call_at(const shared_call& of, time_point when, call_event event) -> timer_id;
     auto set_timers(const shared_call& of) -> void;
     auto dispatch(const shared_call& of, std::size_t index) -> void;
-    auto send(const shared_call& of, std::size_t index, const placement& where) -> void;
+    auto send(const shared_call& of, std::size_t index, const placement& where,
+              impl::trace_step why) -> void;
+    auto trace(call& of, std::size_t index, impl::trace_step step, const placement& where) -> void;
     auto wait_for_room(const shared_call& of, std::size_t index) -> void;
     auto on_end(const shared_call& of, std::size_t index, time_point sent, exchange_id exchange,
                 const std::shared_ptr<const target_record>& target, exchange_result result) -> void;
@@ -103,7 +110,6 @@
     [[nodiscard]] auto merge(call& of) const -> relayed_answer;
     [[nodiscard]] auto failure_of(const call& of, bool timed_out) const -> relayed_answer;
     auto end(const shared_call& of, relayed_answer answer) -> void;
-    auto log_failure(const call& of, unsigned status) const -> void;
     auto release(call& of, bool at_once) -> void;
 
     relay_policy policy_;
@@ -118,6 +124,8 @@
     replica_placing placing_;
     route_pace pace_;
     weighted_split split_;
+    request_log log_;
+    relay_metrics metrics_;
     std::unordered_map<call_id, shared_call> calls_;
     std::set<std::tuple<int, time_point, call_id, std::size_t>> waiting_;
     call_id next_call_ = 1;
--- a/src/core/counter.cpp
+++ b/src/core/counter.cpp
@@ -30,7 +30,13 @@
                                                                    "platform_calls",
                                                                    "platform_failures",
                                                                    "configurations_adopted",
-                                                                   "configurations_refused"};
+                                                                   "configurations_refused",
+                                                                   "callers_left",
+                                                                   "log_lines_held_back",
+                                                                   "store_reads",
+                                                                   "store_watches",
+                                                                   "store_writes",
+                                                                   "store_calls_lost"};
 
 } // namespace
 
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,12 +1,16 @@
+#include <knapweedchute/core/impl/line_appender.hpp>
 #include <knapweedchute/core/log.hpp>
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <iomanip>
 #include <memory>
+#include <sstream>
 
 namespace knapweedchute {
 namespace {
@@ -26,6 +30,21 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
+auto quoted(const std::string& value) -> std::string
+{
+    if (!value.empty() && value.find_first_of(" \"\n") == std::string::npos) {
+        return value;
+    }
+    auto text = std::ostringstream{};
+    text << std::quoted(value);
+    auto line = text.str();
+    std::replace(line.begin(), line.end(), '\n', ' ');
+    return line;
+}
+
+/// Owned by the logging library, which lives as long as the process.
+impl::line_appender* output = nullptr;
+
 } // namespace
 
 logger::logger(std::string part) : part_{std::move(part)} {}
@@ -49,7 +68,7 @@
 {
     auto line = part_ + ": " + std::string{sentence};
     for (const auto& [key, value] : pairs) {
-        line += " " + std::string{key} + "=" + value;
+        line += " " + std::string{key} + "=" + quoted(value);
     }
     log4cplus::Logger::getRoot().log(to_log4cplus(level), line);
 }
@@ -57,7 +76,8 @@
 auto start_logging(log_level lowest) -> void
 {
     static const auto initializer = log4cplus::Initializer{};
-    auto appender = log4cplus::SharedAppenderPtr{new log4cplus::ConsoleAppender{true, true}};
+    output = new impl::line_appender{STDOUT_FILENO};
+    auto appender = log4cplus::SharedAppenderPtr{output};
     appender->setLayout(
         std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} level=%p %m%n"));
     auto root = log4cplus::Logger::getRoot();
@@ -66,4 +86,9 @@
     root.setLogLevel(to_log4cplus(lowest));
 }
 
+auto lost_log_lines() -> std::uint64_t
+{
+    return output == nullptr ? 0 : output->lost();
+}
+
 } // namespace knapweedchute
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -1,8 +1,10 @@
+#include <knapweedchute/core/gauge_text.hpp>
 #include <knapweedchute/core/log.hpp>
 #include <knapweedchute/entry/entry_instance.hpp>
 #include <knapweedchute/relay/refusal_answer.hpp>
 
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <cmath>
@@ -25,6 +27,8 @@
 /// Longer than the pause between two requests to a cold target that is paced slowest.
 constexpr auto cold_memory = seconds{60};
 constexpr auto stop_poll = milliseconds{20};
+/// The longest lag of the loop fades to a third in so long.
+constexpr auto lag_memory = std::chrono::duration<double>(10.0);
 constexpr auto status_ok = 200U;
 const auto log_line = logger{"entry"};
 
@@ -66,7 +70,8 @@
                                                                             names_.headers},
       directory_listener_{loop_, directory_, timers_, names_.headers},
       admin_listener_{loop_, admin_, timers_, names_.headers}, feed_{timers_, codec_of(values)},
-      feed_listener_{loop_, feed_, timers_, names_.headers}
+      peer_pages_{{{"/metrics", [this](const auto&) { return answer_metrics(); }}}, &feed_},
+      feed_listener_{loop_, peer_pages_, timers_, names_.headers}
 {
 }
 
@@ -146,7 +151,22 @@
         peers_.announce(member_state::alive);
         log_line.info("Serving callers.");
     }
-    timers_.at(now + housekeeping_interval, [this] { keep_house(); });
+    if (view_.table() && view_.table()->version() != adopted_version_) {
+        adopted_version_ = view_.table()->version();
+        adopted_ = now;
+    }
+    timers_.at(now + housekeeping_interval, [this, due = now + housekeeping_interval] {
+        note_lag(due);
+        keep_house();
+    });
+}
+
+auto entry_instance::note_lag(time_point due) -> void
+{
+    const auto lag = timers_.now() - due;
+    const auto lately = lag_memory / (lag_memory + housekeeping_interval);
+    longest_lag_ =
+        std::max<duration>(lag, std::chrono::duration_cast<duration>(longest_lag_ * lately));
 }
 
 auto entry_instance::count_members() -> void
@@ -226,8 +246,23 @@
 
 auto entry_instance::answer_metrics() const -> relayed_answer
 {
-    return {
-        status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.prometheus_text()};
+    const auto now = timers_.now();
+    const auto seconds_of = [](duration time) {
+        return std::chrono::duration<double>(time).count();
+    };
+    auto use = rusage{};
+    getrusage(RUSAGE_SELF, &use);
+    auto text = counters_.prometheus_text() + coordinator_.metrics().prometheus_text();
+    text += gauge_text("config_version", "", static_cast<double>(adopted_version_));
+    text += gauge_text("config_in_force_seconds", "", adopted_ ? seconds_of(now - *adopted_) : 0.0);
+    text += gauge_text("targets", "", static_cast<double>(view_.targets().size()));
+    text += gauge_text("instances", "", static_cast<double>(instances_));
+    text += gauge_text("connections", "", static_cast<double>(pool_.open_connections()));
+    text += gauge_text("requests_in_progress", "", static_cast<double>(coordinator_.in_progress()));
+    text += gauge_text("loop_lag_seconds", "", seconds_of(longest_lag_));
+    text += gauge_text("memory_peak_bytes", "", static_cast<double>(use.ru_maxrss) * 1024.0);
+    text += gauge_text("log_lines_lost", "", static_cast<double>(lost_log_lines()));
+    return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)};
 }
 
 auto entry_instance::answer_state() const -> relayed_answer
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -6,6 +6,9 @@
 #include <utility>
 
 namespace knapweedchute {
+
+using impl::trace_step;
+
 namespace {
 
 constexpr auto status_not_found = 404U;
@@ -38,9 +41,8 @@
                                      std::uint64_t seed)
     : policy_{policy}, names_{std::move(names)}, registry_{&parts.registry}, port_{&parts.port},
       timers_{&parts.timers}, extras_{&parts.extras}, cold_{&parts.cold},
-      versions_{&parts.versions}, counters_{&parts.counters}, placing_{policy,         own_zone,
-                                                                       parts.registry, parts.port,
-                                                                       parts.cold,     seed}
+      versions_{&parts.versions}, counters_{&parts.counters},
+      placing_{policy, own_zone, parts.registry, parts.port, parts.cold, seed}, log_{parts.counters}
 {
 }
 
@@ -87,6 +89,7 @@
     }
     const auto left = known->second;
     left->ended = true;
+    counters_->add(counter::callers_left);
     release(*left, true);
 }
 
@@ -154,12 +157,13 @@
     }
     const auto where = placing_.choose(wanted.service, wanted.tried, now);
     if (where.target) {
-        send(of, index, where);
+        send(of, index, where, wanted.tried.empty() ? trace_step::send : trace_step::retry);
         return;
     }
     if (!wanted.live.empty()) {
         return;
     }
+    trace(*of, index, where.only_full ? trace_step::wait : trace_step::no_target, where);
     if (where.only_full) {
         wait_for_room(of, index);
         return;
@@ -173,9 +177,22 @@
     waiting_.emplace(of->way->priority, of->deadline, of->id, index);
 }
 
-auto relay_coordinator::send(const shared_call& of, std::size_t index, const placement& where)
+auto relay_coordinator::trace(call& of, std::size_t index, trace_step step, const placement& where)
     -> void
 {
+    auto& about = of.parts[index];
+    const auto usable = registry_->usable(about.service).size();
+    about.steps.push_back(
+        {timers_->now() - of.started, step, where.target, where.cost, usable, {}, 0});
+}
+
+auto relay_coordinator::send(const shared_call& of, std::size_t index, const placement& where,
+                             trace_step why) -> void
+{
+    trace(*of, index, why, where);
+    if (index == 0 && why == trace_step::send) {
+        metrics_.on_first_send(timers_->now() - of->started);
+    }
     auto& sent = of->parts[index];
     const auto now = timers_->now();
     const auto left = std::chrono::duration_cast<milliseconds>(of->deadline - now);
@@ -213,6 +230,7 @@
     const auto failed = !useful && !given_up && !stale_connection;
     placing_.load(target.id).on_end(sent, now, usual, failed);
     if (!result.never_sent) {
+        metrics_.on_exchange(result.end, elapsed);
         // The making of a connection is no fault of a version, a refusal for want of room neither,
         // and what was cancelled tells by its time alone.
         const auto slow = result.kept_connection && elapsed > usual * slow_multiple;
@@ -236,6 +254,10 @@
     }
     auto& ended = of->parts[index];
     ended.live.erase(exchange);
+    if (!useful) {
+        ended.steps.push_back({timers_->now() - of->started, trace_step::end, target, 0.0, 0,
+                               result.end, result.answer.status});
+    }
     if (!of->ended && !ended.done()) {
         ended.last_end = result.end;
         ended.may_have_run = ended.may_have_run || !provably_not_run(result.end);
@@ -322,7 +344,7 @@
         return;
     }
     counters_->add(counter::parts_hedged);
-    send(of, index, where);
+    send(of, index, where, trace_step::hedge);
 }
 
 auto relay_coordinator::on_goal(const shared_call& of) -> void
--- a/src/relay/relay_finish.cpp
+++ b/src/relay/relay_finish.cpp
@@ -1,11 +1,8 @@
 // The part of relay_coordinator that ends requests.
-#include <knapweedchute/core/log.hpp>
 #include <knapweedchute/relay/record_merge.hpp>
 #include <knapweedchute/relay/refusal_answer.hpp>
 #include <knapweedchute/relay/relay_coordinator.hpp>
 
-#include <boost/algorithm/string/join.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -13,7 +10,6 @@
 namespace {
 
 constexpr auto status_success = 200U;
-constexpr auto status_server_error = 500U;
 /// Shares of shards are fractions; a share that is just met must not fail by rounding.
 constexpr auto rounding = 1e-9;
 
@@ -114,35 +110,11 @@
 auto relay_coordinator::end(const shared_call& of, relayed_answer answer) -> void
 {
     of->ended = true;
-    if (answer.status >= status_server_error) {
-        log_failure(*of, answer.status);
-    }
+    log_.on_end(*of, answer.status, timers_->now());
+    metrics_.on_request(*of, answer.status, timers_->now());
     release(*of, false);
     const auto respond = std::move(of->respond);
     respond(std::move(answer));
 }
 
-auto relay_coordinator::log_failure(const call& of, unsigned status) const -> void
-{
-    static const auto log_line = logger{"relay"};
-    const auto took = std::chrono::duration_cast<milliseconds>(timers_->now() - of.started);
-    const auto answered = std::count_if(of.parts.begin(), of.parts.end(),
-                                        [](const part& one) { return one.answer.has_value(); });
-    const auto lost = std::find_if(of.parts.begin(), of.parts.end(),
-                                   [](const part& one) { return !one.answer.has_value(); });
-    const auto known = lost != of.parts.end();
-    log_line.warning(
-        "Request failed.",
-        {{"request", of.request.id},
-         {"route", of.way->name},
-         {"status", std::to_string(status)},
-         {"ms", std::to_string(took.count())},
-         {"version", std::to_string(of.table->version())},
-         {"answered", std::to_string(answered) + "/" + std::to_string(of.parts.size())},
-         {"lost_service", known ? lost->service : ""},
-         {"tried", known ? boost::algorithm::join(lost->tried, ",") : ""},
-         {"usable", std::to_string(known ? registry_->usable(lost->service).size() : 0)},
-         {"last_end", known && lost->last_end ? std::string{to_string(*lost->last_end)} : "none"}});
-}
-
 } // namespace knapweedchute
