A randomized fault soak over real entry processes, with a checked history

Change: tests/soak: a store, targets and callers in one process, four entry daemons in others; kills, freezes, stops, store troubles, lost history, target troubles, unlisted targets and versions drawn from a seed; every answer is checked when it comes (parts, proofs, merge, coverage, version never back), every run at the end, exit codes throughout; then a calm part: 0.98 of the requests good after the 12 s bound, newest version everywhere, a zone out within 5 s, a move (good for even seeds, bad for odd ones), graceful stop.

--- /dev/null
+++ b/tests/soak/soak_calm.cpp
@@ -0,0 +1,165 @@
+// The calm part after the faults: what must be well again, a zone taken out, a move.
+#include "soak_world.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <iterator>
+
+namespace knapweedchute::soak {
+namespace {
+
+/// The users' pages: a machine is in touch again after 4 s, what is recovered from everything
+/// within 12 s, a zone out of use within 5 s.
+constexpr auto recovery_bound = seconds{12};
+constexpr auto evacuation_bound = seconds{5};
+constexpr auto observed_for = seconds{2};
+/// Share of good answers in calm seconds.
+constexpr auto served_share = 0.98;
+constexpr auto move_length_s = 8;
+constexpr auto move_bound = seconds{10};
+/// The users' pages: share of all requests that a bad version may get, and requests besides.
+constexpr auto exposed_share = 0.1;
+constexpr auto exposed_slack = 50.0;
+constexpr auto stop_bound = seconds{5};
+
+} // namespace
+
+auto soak_world::run() -> std::vector<std::string>
+{
+    pass(seconds{3});
+    draw_fault();
+    pass(options_.faults);
+    calm_down();
+    pass(recovery_bound);
+    expect_served("after the faults");
+    expect_newest_everywhere();
+    take_zone_out();
+    move_version();
+    stop_all();
+    checker_.check_runs(runs_);
+    std::copy(checker_.faults().begin(), checker_.faults().end(), std::back_inserter(faults_));
+    std::cout << "seed " << options_.seed << ", requests " << next_request_ - 1 << ", versions "
+              << version_ << ", faults";
+    for (const auto& [name, count] : faults_drawn_) {
+        std::cout << ' ' << name << '=' << count;
+    }
+    std::cout << '\n';
+    return faults_;
+}
+
+auto soak_world::calm_down() -> void
+{
+    faulty_ = false;
+    store_.set_mode(store_mode::up);
+    for (auto& one : targets_) {
+        one.target->set_mode(target_mode::good);
+        one.listed = true;
+        write_target(one);
+    }
+    for (auto& entry : entries_) {
+        entry->signal(SIGCONT);
+    }
+}
+
+auto soak_world::expect_served(const std::string& when) -> void
+{
+    counts_.clear();
+    pass(observed_for);
+    for (const auto& [kind, count] : counts_) {
+        if (static_cast<double>(count.good) < served_share * static_cast<double>(count.asked)) {
+            faults_.push_back(when + ": kind " + std::to_string(static_cast<int>(kind)) + " good " +
+                              std::to_string(count.good) + " of " + std::to_string(count.asked));
+        }
+    }
+    if (counts_.size() < 4) {
+        faults_.push_back(when + ": a kind of request had no answer at all");
+    }
+}
+
+auto soak_world::expect_newest_everywhere() -> void
+{
+    for (auto index = std::size_t{0}; index < entries_.size(); ++index) {
+        const auto seen = checker_.seen(index, lifetimes_.at(index));
+        if (seen != version_) {
+            faults_.push_back("instance " + std::to_string(index) + " shows version " +
+                              std::to_string(seen) + " of " + std::to_string(version_));
+        }
+    }
+}
+
+auto soak_world::take_zone_out() -> void
+{
+    store_.put("op/evacuate/a", "{}");
+    pass(evacuation_bound);
+    const auto since = timers_.now();
+    expect_served("with a zone out");
+    for (const auto& one : targets_) {
+        if (one.zone == "a" && one.target->last_arrival() > since) {
+            faults_.push_back("target " + one.target->id() +
+                              " of a zone that is out got a request");
+        }
+    }
+    store_.remove("op/evacuate/a");
+    pass(seconds{1});
+}
+
+auto soak_world::move_version() -> void
+{
+    const auto bad = options_.seed % 2 == 1;
+    const auto first_new = targets_.size();
+    const auto runs_before = next_request_;
+    store_.put(
+        "op/rollout/m",
+        nlohmann::json{{"service", "m"}, {"targetVersion", "v2"}, {"durationS", move_length_s}}
+            .dump());
+    for (const auto* zone : {"a", "b", "c"}) {
+        add_target("m", zone, "v2")
+            .target->set_mode(bad ? target_mode::failing : target_mode::good);
+    }
+    const auto wanted = std::string{bad ? "rolled_back" : "done"};
+    const auto ended = [&] {
+        return store_.value("status/rollout/m").find(wanted) != std::string::npos;
+    };
+    const auto give_up = timers_.now() + move_bound;
+    while (!ended() && timers_.now() < give_up) {
+        pass(milliseconds{50});
+    }
+    if (!ended()) {
+        faults_.push_back("the move is not " + wanted + ": " + store_.value("status/rollout/m"));
+    }
+    for (auto index = std::size_t{0}; index < first_new && !bad; ++index) {
+        // The old targets stop at once.
+        if (targets_.at(index).target->service() == "m") {
+            targets_.at(index).target->set_mode(target_mode::dark);
+        }
+    }
+    expect_served("after the move");
+    auto arrivals = std::size_t{0};
+    for (auto index = first_new; index < targets_.size(); ++index) {
+        arrivals += targets_.at(index).target->arrivals();
+    }
+    const auto moved = static_cast<double>(next_request_ - runs_before) / 5.0;
+    if (bad && static_cast<double>(arrivals) > moved * exposed_share + exposed_slack) {
+        faults_.push_back("a bad version got " + std::to_string(arrivals) + " requests");
+    }
+}
+
+auto soak_world::stop_all() -> void
+{
+    ending_ = true;
+    pass(seconds{1});
+    for (auto& entry : entries_) {
+        entry->signal(SIGTERM);
+    }
+    pass(stop_bound);
+    for (auto index = std::size_t{0}; index < entries_.size(); ++index) {
+        if (entries_.at(index)->running() || entries_.at(index)->exit_code() != 0) {
+            faults_.push_back("instance " + std::to_string(index) + " did not stop well");
+        }
+    }
+}
+
+} // namespace knapweedchute::soak
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,95 @@
+// The faults that are drawn.
+#include "soak_world.hpp"
+
+#include <csignal>
+
+namespace knapweedchute::soak {
+
+auto soak_world::draw_fault() -> void
+{
+    struct drawn_fault
+    {
+        const char* name;
+        fault_action act;
+    };
+    static constexpr auto actions =
+        std::array{drawn_fault{"kill", &soak_world::kill_entry},
+                   drawn_fault{"freeze", &soak_world::freeze_entry},
+                   drawn_fault{"stop", &soak_world::stop_entry},
+                   drawn_fault{"store", &soak_world::trouble_store},
+                   drawn_fault{"history", &soak_world::forget_history},
+                   drawn_fault{"target", &soak_world::trouble_target},
+                   drawn_fault{"target", &soak_world::trouble_target},
+                   drawn_fault{"unlisted", &soak_world::unlist_target},
+                   drawn_fault{"version", &soak_world::change_configuration},
+                   drawn_fault{"version", &soak_world::change_configuration}};
+    if (!faulty_) {
+        return;
+    }
+    const auto& [name, act] = actions.at(drawn(actions.size()));
+    faults_drawn_[name] += 1;
+    (this->*act)();
+    later(drawn_time(100, 900), [this] { draw_fault(); });
+}
+
+auto soak_world::kill_entry() -> void
+{
+    entries_.at(drawn(entries_.size()))->signal(SIGKILL);
+}
+
+auto soak_world::freeze_entry() -> void
+{
+    const auto index = drawn(entries_.size());
+    entries_.at(index)->signal(SIGSTOP);
+    later(drawn_time(200, 2'500), [this, index] { entries_.at(index)->signal(SIGCONT); });
+}
+
+auto soak_world::stop_entry() -> void
+{
+    entries_.at(drawn(entries_.size()))->signal(SIGTERM);
+}
+
+auto soak_world::trouble_store() -> void
+{
+    constexpr auto modes = std::array{store_mode::busy, store_mode::silent, store_mode::lossy};
+    store_.set_mode(modes.at(drawn(modes.size())));
+    later(drawn_time(300, 3'000), [this] { store_.set_mode(store_mode::up); });
+}
+
+auto soak_world::forget_history() -> void
+{
+    store_.forget_history();
+}
+
+auto soak_world::trouble_target() -> void
+{
+    constexpr auto modes =
+        std::array{target_mode::slow, target_mode::dark, target_mode::full, target_mode::failing};
+    auto index = drawn(targets_.size());
+    // Every second time one whose requests must not run twice: there are few of them.
+    for (auto tries = drawn(2) * targets_.size(); tries > 0; --tries) {
+        index = targets_.at(index).target->service() == "o" ? index : drawn(targets_.size());
+    }
+    targets_.at(index).target->set_mode(modes.at(drawn(modes.size())));
+    later(drawn_time(300, 2'500),
+          [this, index] { targets_.at(index).target->set_mode(target_mode::good); });
+}
+
+auto soak_world::unlist_target() -> void
+{
+    const auto index = drawn(targets_.size());
+    targets_.at(index).listed = false;
+    store_.remove("servers/" + targets_.at(index).target->id());
+    later(drawn_time(500, 2'500), [this, index] {
+        targets_.at(index).listed = true;
+        write_target(targets_.at(index));
+    });
+}
+
+auto soak_world::change_configuration() -> void
+{
+    version_ += 1;
+    write_configuration();
+}
+
+} // namespace knapweedchute::soak
--- /dev/null
+++ b/tests/soak/soak_world.cpp
@@ -0,0 +1,270 @@
+// Building the world and its callers; faults and the calm part have files of their own.
+#include "soak_world.hpp"
+
+#include "names.hpp"
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <fstream>
+#include <stdexcept>
+
+namespace knapweedchute::soak {
+namespace {
+
+constexpr auto loopback_network = 0x7f000000U;
+constexpr auto store_host = std::uint32_t{1};
+constexpr auto first_entry_host = std::uint32_t{10};
+constexpr auto first_target_host = std::uint32_t{60};
+constexpr auto port = std::uint16_t{24'300};
+constexpr auto shards = 6;
+constexpr auto configured = 4;
+constexpr auto entries = 4;
+constexpr auto beat_interval = milliseconds{1'200};
+constexpr auto keep_interval = milliseconds{100};
+constexpr auto call_timeout = milliseconds{1'500};
+constexpr auto caller_pause = milliseconds{15};
+constexpr auto caller_waits_ms = 800;
+const auto zones = std::array<std::string, 3>{"a", "b", "c"};
+
+/// A network of 127.0.0.0/8 of its own, so that two runs at once do not meet.
+auto own_network() -> std::uint32_t
+{
+    const auto process = static_cast<std::uint32_t>(getpid());
+    return loopback_network | ((1 + process / 250 % 250) << 16U) | ((1 + process % 250) << 8U);
+}
+
+auto shard_names() -> std::vector<std::string>
+{
+    auto names = std::vector<std::string>{};
+    for (auto index = 0; index < shards; ++index) {
+        names.push_back("q" + std::to_string(index));
+    }
+    return names;
+}
+
+auto path_of(request_kind kind) -> std::string
+{
+    static const auto paths =
+        std::map<request_kind, std::string>{{request_kind::query, "/q/x"},
+                                            {request_kind::run_once, "/once/x"},
+                                            {request_kind::configured, "/conf/x"},
+                                            {request_kind::moving, "/move/x"}};
+    return paths.at(kind);
+}
+
+auto route_of(const std::string& name, const std::string& type) -> nlohmann::json
+{
+    return {{"name", name},      {"host", "soak"},   {"prefix", "/" + name + "/"},
+            {"routeType", type}, {"timeoutMs", 800}, {"targetLatencyMs", 150},
+            {"priority", 1},     {"maxAttempts", 2}};
+}
+
+} // namespace
+
+soak_world::soak_world(const soak_options& options)
+    : options_{options}, random_{options.seed}, network_{own_network()},
+      names_{platform::interface().headers},
+      store_listener_{loop_, store_, timers_, names_}, checker_{shard_names(), {}}
+{
+    auto reason = error{};
+    if (!store_listener_.open({network_ | store_host, port}, reason)) {
+        throw std::runtime_error{to_string(reason)};
+    }
+    for (const auto& service : shard_names()) {
+        add_target(service, "a", "v1");
+        add_target(service, "b", "v1");
+    }
+    for (const auto& zone : zones) {
+        add_target("o", zone, "v1");
+        add_target("m", zone, "v1");
+    }
+    for (auto index = 0; index < configured; ++index) {
+        add_target("c" + std::to_string(index), "a", "v1");
+        add_target("c" + std::to_string(index), "b", "v1");
+    }
+    write_configuration();
+    for (auto index = std::size_t{0}; index < entries; ++index) {
+        add_entry(zones.at(index % zones.size()));
+    }
+    beat();
+    keep_running();
+}
+
+auto soak_world::add_target(const std::string& service, const std::string& zone,
+                            const std::string& version) -> placed_target&
+{
+    const auto index = targets_.size();
+    const auto id = "t" + std::to_string(index);
+    auto& added = targets_.emplace_back();
+    added.target = std::make_unique<target_stand_in>(timers_, id, service, runs_);
+    added.listener = std::make_unique<caller_listener>(loop_, *added.target, timers_, names_);
+    added.where = {network_ | (first_target_host + static_cast<std::uint32_t>(index)), port};
+    added.zone = zone;
+    added.version = version;
+    auto reason = error{};
+    if (!added.listener->open(added.where, reason)) {
+        throw std::runtime_error{to_string(reason)};
+    }
+    checker_.on_target(id, service);
+    write_target(added);
+    return added;
+}
+
+auto soak_world::write_target(const placed_target& of) -> void
+{
+    store_.put("servers/" + of.target->id(), nlohmann::json{{"service", of.target->service()},
+                                                            {"address", to_string(of.where)},
+                                                            {"zone", of.zone},
+                                                            {"version", of.version},
+                                                            {"slots", 2},
+                                                            {"state", "ready"},
+                                                            {"coldRemainingMs", 0},
+                                                            {"sequence", sequence_},
+                                                            {"born", 1}}
+                                                 .dump());
+}
+
+auto soak_world::beat() -> void
+{
+    sequence_ += 1;
+    for (const auto& one : targets_) {
+        if (one.listed) {
+            write_target(one);
+        }
+    }
+    later(beat_interval, [this] { beat(); });
+}
+
+auto soak_world::write_configuration() -> void
+{
+    auto query = route_of("q", "idempotent");
+    query["gather"] = shard_names();
+    query["topK"] = 5;
+    query["minCoverage"] = 0.5;
+    auto once = route_of("once", "non_idempotent");
+    once["service"] = "o";
+    auto moved = route_of("move", "idempotent");
+    moved["service"] = "m";
+    auto chosen = route_of("conf", "idempotent");
+    chosen["service"] = answer_checker::configured_service(version_);
+    auto services = nlohmann::json::array();
+    for (const auto& one : targets_) {
+        services.push_back({{"name", one.target->service()}, {"maxConnections", 40}});
+    }
+    checker_.on_version(version_);
+    store_.put("op/config", nlohmann::json{{"version", version_},
+                                           {"routes", {query, once, moved, chosen}},
+                                           {"services", services},
+                                           {"limits", {{"idleTimeoutMs", 15'000}}}}
+                                .dump());
+}
+
+auto soak_world::write_settings(const std::filesystem::path& path, const std::string& name,
+                                const std::string& zone, std::uint32_t ip) const -> void
+{
+    const auto at = [&](int offset) {
+        return to_string(address{ip, static_cast<std::uint16_t>(port + offset)});
+    };
+    std::ofstream{path} << nlohmann::json{
+        {"instance", name},
+        {"availability_zone", zone},
+        {"caller_address", at(0)},
+        {"readiness_address", at(1)},
+        {"directory_address", at(2)},
+        {"admin_address", at(3)},
+        {"peer_address", at(4)},
+        {"seeds",
+         {to_string(address{network_ | first_entry_host, static_cast<std::uint16_t>(port + 4)})}},
+        {"processor_share", 0.25},
+        {"cores", 1},
+        {"store_address", to_string(address{network_ | store_host, port})},
+        {"address_lifetime_ms", 300},
+        {"stop_grace_s", 4},
+        {"extra_window_s", 10},
+        {"extra_ratio", 0.2},
+        {"extra_allowance",
+         200}}.dump();
+}
+
+auto soak_world::add_entry(const std::string& zone) -> void
+{
+    const auto index = entries_.size();
+    const auto name = "i" + std::to_string(index);
+    const auto ip = network_ | (first_entry_host + static_cast<std::uint32_t>(index));
+    const auto settings = options_.work / (name + ".json");
+    write_settings(settings, name, zone, ip);
+    entries_.push_back(std::make_unique<entry_process>(options_.program, settings.string(),
+                                                       (options_.work / (name + ".log")).string()));
+    entries_.back()->start();
+    lifetimes_.push_back(1);
+    caller_addresses_.push_back({ip, port});
+    add_callers(index);
+}
+
+auto soak_world::add_callers(std::size_t instance) -> void
+{
+    for (const auto kind : {request_kind::query, request_kind::query, request_kind::run_once,
+                            request_kind::configured, request_kind::moving}) {
+        auto& added = callers_.emplace_back();
+        added.client =
+            std::make_unique<call_client>(loop_, timers_, caller_addresses_.at(instance));
+        added.kind = kind;
+        added.instance = instance;
+        later(caller_pause, [this, index = callers_.size() - 1] { ask(index); });
+    }
+}
+
+auto soak_world::ask(std::size_t index) -> void
+{
+    if (ending_) {
+        return;
+    }
+    const auto& from = callers_.at(index);
+    const auto lifetime = lifetimes_.at(from.instance);
+    const auto id = "r" + std::to_string(next_request_++);
+    const auto request =
+        asked{from.kind, id, from.instance, lifetime, checker_.seen(from.instance, lifetime)};
+    const auto text = "GET " + path_of(from.kind) + " HTTP/1.1\r\nHost: soak\r\nRequest-Id: " + id +
+                      "\r\nDeadline-Ms: " + std::to_string(caller_waits_ms) + "\r\n\r\n";
+    from.client->call(text, call_timeout, [this, index, request](const auto& result) {
+        auto& count = counts_[request.kind];
+        count.asked += 1;
+        count.good += checker_.check(request, result) ? 1 : 0;
+        later(caller_pause, [this, index] { ask(index); });
+    });
+}
+
+auto soak_world::keep_running() -> void
+{
+    for (auto index = std::size_t{0}; index < entries_.size(); ++index) {
+        auto& entry = *entries_.at(index);
+        if (entry.running() || ending_) {
+            continue;
+        }
+        if (entry.exit_code() != 0 && entry.exit_code() != -SIGKILL) {
+            faults_.push_back("instance " + std::to_string(index) + " ended with " +
+                              std::to_string(entry.exit_code()));
+        }
+        lifetimes_.at(index) += 1;
+        entry.start();
+    }
+    later(keep_interval, [this] { keep_running(); });
+}
+
+auto soak_world::pass(duration time) -> void
+{
+    loop_.run_for(std::chrono::ceil<milliseconds>(time));
+}
+
+auto soak_world::drawn_time(int least_ms, int most_ms) -> milliseconds
+{
+    return milliseconds{std::uniform_int_distribution{least_ms, most_ms}(random_)};
+}
+
+auto soak_world::later(duration after, std::function<void()> work) -> void
+{
+    timers_.at(timers_.now() + after, std::move(work));
+}
+
+} // namespace knapweedchute::soak
--- /dev/null
+++ b/tests/soak/soak_world.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "answer_checker.hpp"
+#include "entry_process.hpp"
+#include "store_stand_in.hpp"
+#include "target_stand_in.hpp"
+
+#include <knapweedchute/net/asio_timer_queue.hpp>
+#include <knapweedchute/net/call_client.hpp>
+#include <knapweedchute/net/caller_listener.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace knapweedchute::soak {
+
+/// \brief What a run of the soak is given.
+struct soak_options
+{
+    std::string program;         ///< Path of the entry daemon.
+    std::filesystem::path work;  ///< Folder for settings and logs.
+    std::uint64_t seed = 1;      ///< Seed of everything that is drawn.
+    milliseconds faults{20'000}; ///< How long faults are drawn.
+};
+
+/// \brief A store, targets and callers in this process, entry daemons in processes of their own.
+class soak_world
+{
+public:
+    explicit soak_world(const soak_options& options);
+
+    /// \brief Runs the faults, then the calm part with a zone taken out and a move.
+    /// \returns Everything that broke a rule.
+    [[nodiscard]] auto run() -> std::vector<std::string>;
+
+private:
+    /// \brief One target with its listener, and what it writes of itself.
+    struct placed_target
+    {
+        std::unique_ptr<target_stand_in> target;
+        std::unique_ptr<caller_listener> listener;
+        address where;
+        std::string zone;
+        std::string version;
+        bool listed = true;
+    };
+
+    /// \brief One caller, which sends one request after the other to one instance.
+    struct caller
+    {
+        std::unique_ptr<call_client> client;
+        request_kind kind = request_kind::query;
+        std::size_t instance = 0;
+    };
+
+    struct counted
+    {
+        std::size_t asked = 0;
+        std::size_t good = 0;
+    };
+
+    using fault_action = void (soak_world::*)();
+
+    auto add_target(const std::string& service, const std::string& zone, const std::string& version)
+        -> placed_target&;
+    auto add_entry(const std::string& zone) -> void;
+    auto add_callers(std::size_t instance) -> void;
+    auto write_settings(const std::filesystem::path& path, const std::string& name,
+                        const std::string& zone, std::uint32_t ip) const -> void;
+    auto write_configuration() -> void;
+    auto write_target(const placed_target& of) -> void;
+    auto beat() -> void;
+    auto ask(std::size_t index) -> void;
+    auto draw_fault() -> void;
+    auto keep_running() -> void;
+    auto pass(duration time) -> void;
+
+    /// \name Faults that are drawn
+    /// @{
+    auto kill_entry() -> void;
+    auto freeze_entry() -> void;
+    auto stop_entry() -> void;
+    auto trouble_store() -> void;
+    auto forget_history() -> void;
+    auto trouble_target() -> void;
+    auto unlist_target() -> void;
+    auto change_configuration() -> void;
+    /// @}
+
+    /// \name The calm part
+    /// @{
+    auto calm_down() -> void;
+    auto expect_served(const std::string& when) -> void;
+    auto expect_newest_everywhere() -> void;
+    auto take_zone_out() -> void;
+    auto move_version() -> void;
+    auto stop_all() -> void;
+    /// @}
+
+    [[nodiscard]] auto drawn(std::size_t below) -> std::size_t { return random_() % below; }
+    [[nodiscard]] auto drawn_time(int least_ms, int most_ms) -> milliseconds;
+    auto later(duration after, std::function<void()> work) -> void;
+
+    soak_options options_;
+    std::mt19937_64 random_;
+    std::uint32_t network_;
+    boost::asio::io_context loop_{1};
+    asio_timer_queue timers_{loop_};
+    header_names names_;
+    store_stand_in store_{timers_};
+    caller_listener store_listener_;
+    run_counts runs_;
+    std::vector<placed_target> targets_;
+    std::vector<std::unique_ptr<entry_process>> entries_;
+    std::vector<std::uint64_t> lifetimes_;
+    std::vector<address> caller_addresses_;
+    std::vector<caller> callers_;
+    answer_checker checker_;
+    std::map<request_kind, counted> counts_;
+    std::map<std::string, std::size_t> faults_drawn_;
+    std::vector<std::string> faults_;
+    std::uint64_t version_ = 1;
+    std::uint64_t sequence_ = 1;
+    std::uint64_t next_request_ = 1;
+    bool faulty_ = true;
+    bool ending_ = false;
+};
+
+} // namespace knapweedchute::soak
--- /dev/null
+++ b/tests/soak/store_stand_in.cpp
@@ -0,0 +1,179 @@
+#include "store_stand_in.hpp"
+
+#include "store_client.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+#include <utility>
+#include <vector>
+
+namespace knapweedchute::soak {
+namespace {
+
+constexpr auto status_ok = 200U;
+constexpr auto page_size = std::size_t{200};
+
+auto query_of(const std::string& target) -> std::map<std::string, std::string>
+{
+    auto pairs = std::map<std::string, std::string>{};
+    const auto mark = target.find('?');
+    auto text = std::istringstream{mark == std::string::npos ? "" : target.substr(mark + 1)};
+    for (auto pair = std::string{}; std::getline(text, pair, '&');) {
+        const auto equals = pair.find('=');
+        pairs[pair.substr(0, equals)] = pair.substr(equals + 1);
+    }
+    return pairs;
+}
+
+auto number_of(const std::map<std::string, std::string>& query, const std::string& key)
+    -> std::uint64_t
+{
+    const auto found = query.find(key);
+    return found == query.end() || found->second.empty() ? 0 : std::stoull(found->second);
+}
+
+auto answer(unsigned status, const nlohmann::json& body) -> relayed_answer
+{
+    return {status, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+} // namespace
+
+auto store_stand_in::put(const std::string& key, const std::string& value) -> void
+{
+    change(key, {value, revision_ + 1, false});
+}
+
+auto store_stand_in::remove(const std::string& key) -> void
+{
+    if (items_.contains(key)) {
+        change(key, {"", revision_ + 1, true});
+    }
+}
+
+auto store_stand_in::value(const std::string& key) const -> std::string
+{
+    const auto found = items_.find(key);
+    return found == items_.end() ? "" : found->second.value;
+}
+
+auto store_stand_in::change(const std::string& key, item changed) -> void
+{
+    revision_ = changed.revision;
+    history_[revision_] = {key, changed};
+    if (changed.deleted) {
+        items_.erase(key);
+    } else {
+        items_[key] = std::move(changed);
+    }
+    auto waiting = std::vector<std::uint64_t>{};
+    for (const auto& [id, one] : watchers_) {
+        waiting.push_back(id);
+    }
+    for (const auto id : waiting) {
+        tell(id);
+    }
+}
+
+auto store_stand_in::handle(relayed_request request, responder respond) -> std::uint64_t
+{
+    const auto path = request.target.substr(0, request.target.find('?'));
+    const auto query = query_of(request.target);
+    if (mode_ == store_mode::silent) {
+        return next_++;
+    }
+    if (mode_ == store_mode::busy) {
+        respond(answer(503, nlohmann::json::object()));
+        return 0;
+    }
+    const auto unheard = mode_ == store_mode::lossy && next_++ % 2 == 0;
+    if (path == "/api/kv-watch" && !unheard) {
+        return watch(query, std::move(respond));
+    }
+    const auto done = path == "/api/kv-txn" ? transact(request.body) : range(query);
+    if (unheard) {
+        return next_++;
+    }
+    respond(done);
+    return 0;
+}
+
+auto store_stand_in::range(const std::map<std::string, std::string>& query) const -> relayed_answer
+{
+    const auto prefix = query.contains("prefix") ? query.at("prefix") : "";
+    const auto after = query.contains("after") ? query.at("after") : "";
+    auto body = nlohmann::json{
+        {"items", nlohmann::json::array()}, {"truncated", false}, {"asOf", revision_}};
+    for (const auto& [key, known] : items_) {
+        if (!key.starts_with(prefix) || key <= after) {
+            continue;
+        }
+        if (body["items"].size() == page_size) {
+            body["truncated"] = true;
+            break;
+        }
+        body["items"].push_back({{"key", key},
+                                 {"value", platform::encode_value(known.value)},
+                                 {"revision", known.revision}});
+    }
+    return answer(status_ok, body);
+}
+
+auto store_stand_in::watch(const std::map<std::string, std::string>& query, responder respond)
+    -> std::uint64_t
+{
+    const auto after = number_of(query, "after");
+    if (after < history_from_) {
+        respond(answer(410, nlohmann::json::object()));
+        return 0;
+    }
+    if (after < revision_) {
+        respond(events_after(after));
+        return 0;
+    }
+    const auto id = next_++;
+    watchers_[id] = {after, std::move(respond)};
+    timers_->at(timers_->now() + milliseconds{number_of(query, "waitMs")},
+                [this, id] { tell(id); });
+    return id;
+}
+
+auto store_stand_in::tell(std::uint64_t id) -> void
+{
+    auto node = watchers_.extract(id);
+    if (!node.empty() && mode_ == store_mode::up) {
+        node.mapped().respond(events_after(node.mapped().after));
+    }
+}
+
+auto store_stand_in::events_after(std::uint64_t revision) const -> relayed_answer
+{
+    auto body = nlohmann::json{{"events", nlohmann::json::array()}, {"asOf", revision_}};
+    for (auto change = history_.upper_bound(revision); change != history_.end(); ++change) {
+        const auto& [key, what] = change->second;
+        body["events"].push_back({{"key", key},
+                                  {"value", platform::encode_value(what.value)},
+                                  {"revision", what.revision},
+                                  {"deleted", what.deleted}});
+    }
+    return answer(status_ok, body);
+}
+
+auto store_stand_in::transact(const std::string& body) -> relayed_answer
+{
+    const auto call = nlohmann::json::parse(body);
+    for (const auto& wanted : call.at("expectedRevision")) {
+        const auto found = items_.find(wanted.at("key").get<std::string>());
+        const auto revision = found == items_.end() ? std::uint64_t{0} : found->second.revision;
+        if (revision != wanted.at("revision").get<std::uint64_t>()) {
+            return answer(412, {{"items", nlohmann::json::array()}});
+        }
+    }
+    for (const auto& write : call.at("writes")) {
+        put(write.at("key"), platform::decode_value(write.at("value")));
+    }
+    return answer(status_ok, {{"revision", revision_}});
+}
+
+} // namespace knapweedchute::soak
--- /dev/null
+++ b/tests/soak/store_stand_in.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <knapweedchute/net/request_handler.hpp>
+#include <knapweedchute/relay/timer_queue.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace knapweedchute::soak {
+
+/// \brief How the store treats its callers.
+enum class store_mode : std::uint8_t
+{
+    up,
+    busy,   ///< Refuses every call.
+    silent, ///< Answers nothing.
+    lossy   ///< Carries writes out and answers half of all calls only.
+};
+
+/// \brief The platform's store as far as entry daemons call it: ranges, watches, transactions.
+class store_stand_in final : public request_handler
+{
+public:
+    explicit store_stand_in(timer_queue& timers) : timers_{&timers} {}
+
+    /// \brief Writes as the operator or a target does: always at once.
+    auto put(const std::string& key, const std::string& value) -> void;
+
+    /// \brief Removes a key as the operator or the store does.
+    auto remove(const std::string& key) -> void;
+
+    /// \brief Value of a key; empty if there is none.
+    [[nodiscard]] auto value(const std::string& key) const -> std::string;
+
+    /// \brief Forgets all changes so far: watches after an older revision must read again.
+    auto forget_history() -> void { history_from_ = revision_; }
+
+    auto set_mode(store_mode mode) -> void { mode_ = mode; }
+
+    auto handle(relayed_request request, responder respond) -> std::uint64_t override;
+    auto leave(std::uint64_t request) -> void override { watchers_.erase(request); }
+    [[nodiscard]] auto limits() const -> caller_limits override { return {}; }
+
+private:
+    struct item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+    };
+
+    struct watcher
+    {
+        std::uint64_t after = 0;
+        responder respond;
+    };
+
+    auto change(const std::string& key, item changed) -> void;
+    auto range(const std::map<std::string, std::string>& query) const -> relayed_answer;
+    auto watch(const std::map<std::string, std::string>& query, responder respond) -> std::uint64_t;
+    auto transact(const std::string& body) -> relayed_answer;
+    auto tell(std::uint64_t id) -> void;
+    [[nodiscard]] auto events_after(std::uint64_t revision) const -> relayed_answer;
+
+    timer_queue* timers_;
+    store_mode mode_ = store_mode::up;
+    std::map<std::string, item> items_;
+    std::map<std::uint64_t, std::pair<std::string, item>> history_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t history_from_ = 1;
+    std::map<std::uint64_t, watcher> watchers_;
+    std::uint64_t next_ = 1;
+};
+
+} // namespace knapweedchute::soak
