--- a/daemons/ctl/explain.cpp
+++ b/daemons/ctl/explain.cpp
@@ -1,6 +1,6 @@
 #include "explain.hpp"
 
-#include <knapweedchute/core/log_line.hpp>
+#include <knapweedchute/core/parsed_line.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -17,7 +17,7 @@
 struct sourced_line
 {
     std::string source;
-    log_line line;
+    parsed_line line;
 };
 
 /// What one log says: the lines of the request, and the latest line of each kind before its end.
@@ -28,7 +28,7 @@
 };
 
 /// Parts whose lines tell what an instance believes of the world.
-auto tells_belief(const log_line& line) -> bool
+auto tells_belief(const parsed_line& line) -> bool
 {
     static const auto parts =
         std::vector<std::string>{"config", "entry", "feed", "log", "move", "store"};
@@ -51,7 +51,7 @@
     -> void
 {
     for (auto text = std::string{}; std::getline(input, text);) {
-        if (auto line = parse_log_line(text)) {
+        if (auto line = parse_line(text)) {
             auto source = source_of(text, line->time, file);
             lines.push_back({std::move(source), std::move(*line)});
         }
--- a/include/knapweedchute/core/error_code.hpp
+++ b/include/knapweedchute/core/error_code.hpp
@@ -22,7 +22,6 @@
     target_failed,     ///< The target failed the request.
     issued_elsewhere,  ///< The request id belongs to another instance or incarnation.
     duplicate_request, ///< The request id was used before.
-    stopping,          ///< The instance is stopping.
     conflict,          ///< Another revision was stored in the meantime.
     store_unavailable, ///< The platform's service did not answer.
     outcome_unknown,   ///< The answer was lost and could not be settled.
--- a/include/knapweedchute/core/outcome.hpp
+++ b/include/knapweedchute/core/outcome.hpp
@@ -15,8 +15,4 @@
 /// \brief Name used in JSON: `not_run`, `ran` or `unknown`.
 [[nodiscard]] auto to_string(outcome value) noexcept -> std::string_view;
 
-/// \brief Outcome of two attempts of one request taken together.
-/// \returns `ran` if either ran, else `unknown` if either is unknown, else `not_run`.
-[[nodiscard]] auto combine(outcome left, outcome right) noexcept -> outcome;
-
 } // namespace knapweedchute
--- a/include/knapweedchute/core/log_line.hpp
+++ b/include/knapweedchute/core/parsed_line.hpp
@@ -9,7 +9,7 @@
 namespace knapweedchute {
 
 /// \brief A line of a log, taken apart.
-struct log_line
+struct parsed_line
 {
     std::string time;     ///< As written; sorts by its text. Empty if the line has none.
     std::string part;     ///< Prefix of the part that wrote it.
@@ -19,11 +19,11 @@
     /// \brief Value of a field; empty if there is none.
     [[nodiscard]] auto value(std::string_view key) const -> std::string;
 
-    [[nodiscard]] auto operator==(const log_line&) const -> bool = default;
+    [[nodiscard]] auto operator==(const parsed_line&) const -> bool = default;
 };
 
 /// \brief Takes a line apart; what a collector puts before the time is passed over.
 /// \returns Nothing if it is no line of this project.
-[[nodiscard]] auto parse_log_line(std::string_view text) -> std::optional<log_line>;
+[[nodiscard]] auto parse_line(std::string_view text) -> std::optional<parsed_line>;
 
 } // namespace knapweedchute
--- a/src/core/error_code.cpp
+++ b/src/core/error_code.cpp
@@ -35,8 +35,6 @@
         return "issued_elsewhere";
     case error_code::duplicate_request:
         return "duplicate_request";
-    case error_code::stopping:
-        return "stopping";
     case error_code::conflict:
         return "conflict";
     case error_code::store_unavailable:
--- a/src/core/latency_histogram.cpp
+++ b/src/core/latency_histogram.cpp
@@ -34,18 +34,27 @@
 auto latency_histogram::prometheus_text(const std::string& name, const std::string& labels) const
     -> std::string
 {
-    const auto comma = labels.empty() ? "" : ",";
+    const auto separated = labels.empty() ? std::string{} : labels + ",";
     auto text = std::string{};
+    const auto add_line = [&](const char* suffix, const std::string& braced,
+                              const std::string& value) {
+        text += name;
+        text += suffix;
+        text += braced;
+        text += ' ';
+        text += value;
+        text += '\n';
+    };
     auto below = std::uint64_t{0};
     for (const auto& bucket : boost::histogram::indexed(buckets_)) {
         below += *bucket;
-        text += name + "_bucket{" + labels + comma + "le=\"" + number(bucket.bin().upper()) +
-                "\"} " + std::to_string(below) + "\n";
+        add_line("_bucket", "{" + separated + "le=\"" + number(bucket.bin().upper()) + "\"}",
+                 std::to_string(below));
     }
     const auto braced = labels.empty() ? labels : "{" + labels + "}";
-    text += name + "_bucket{" + labels + comma + "le=\"+Inf\"} " + std::to_string(count_) + "\n";
-    text += name + "_sum" + braced + " " + number(sum_s_) + "\n";
-    text += name + "_count" + braced + " " + std::to_string(count_) + "\n";
+    add_line("_bucket", "{" + separated + "le=\"+Inf\"}", std::to_string(count_));
+    add_line("_sum", braced, number(sum_s_));
+    add_line("_count", braced, std::to_string(count_));
     return text;
 }
 
--- a/src/core/outcome.cpp
+++ b/src/core/outcome.cpp
@@ -15,15 +15,4 @@
     return "unknown";
 }
 
-auto combine(outcome left, outcome right) noexcept -> outcome
-{
-    if (left == outcome::ran || right == outcome::ran) {
-        return outcome::ran;
-    }
-    if (left == outcome::unknown || right == outcome::unknown) {
-        return outcome::unknown;
-    }
-    return outcome::not_run;
-}
-
 } // namespace knapweedchute
--- a/src/core/log_line.cpp
+++ b/src/core/parsed_line.cpp
@@ -1,4 +1,4 @@
-#include <knapweedchute/core/log_line.hpp>
+#include <knapweedchute/core/parsed_line.hpp>
 
 #include <algorithm>
 #include <iomanip>
@@ -26,14 +26,14 @@
 
 } // namespace
 
-auto log_line::value(std::string_view key) const -> std::string
+auto parsed_line::value(std::string_view key) const -> std::string
 {
     const auto found = std::find_if(fields.begin(), fields.end(),
                                     [&](const auto& field) { return field.first == key; });
     return found == fields.end() ? std::string{} : found->second;
 }
 
-auto parse_log_line(std::string_view text) -> std::optional<log_line>
+auto parse_line(std::string_view text) -> std::optional<parsed_line>
 {
     constexpr auto level_mark = std::string_view{"level="};
     const auto level = text.find(level_mark);
@@ -47,7 +47,7 @@
     if (colon == std::string_view::npos || stop == std::string_view::npos) {
         return std::nullopt;
     }
-    auto line = log_line{};
+    auto line = parsed_line{};
     const auto before = text.substr(0, level);
     const auto time_end = before.find_last_not_of(' ');
     if (time_end != std::string_view::npos) {
--- a/tests/soak/store_stand_in.hpp
+++ b/tests/soak/store_stand_in.hpp
@@ -57,7 +57,8 @@
     };
 
     auto change(const std::string& key, item changed) -> void;
-    auto range(const std::map<std::string, std::string>& query) const -> relayed_answer;
+    [[nodiscard]] auto range(const std::map<std::string, std::string>& query) const
+        -> relayed_answer;
     auto watch(const std::map<std::string, std::string>& query, responder respond) -> std::uint64_t;
     auto transact(const std::string& body) -> relayed_answer;
     auto tell(std::uint64_t id) -> void;
--- a/tests/unit/core/log_test.cpp
+++ b/tests/unit/core/log_test.cpp
@@ -1,5 +1,5 @@
 #include <knapweedchute/core/line_budget.hpp>
-#include <knapweedchute/core/log_line.hpp>
+#include <knapweedchute/core/parsed_line.hpp>
 
 #include <boost/test/unit_test.hpp>
 
@@ -18,7 +18,7 @@
 
 BOOST_AUTO_TEST_CASE(line_is_taken_apart_whatever_a_collector_puts_before_it)
 {
-    const auto line = parse_log_line(
+    const auto line = parse_line(
         R"(  1.5 node-1 2026-01-01T00:00:01.000 level=WARN store: Entry not understood. key=a/b reason="no \"x\" there" empty="")");
     BOOST_REQUIRE(line);
     BOOST_TEST(line->time == "2026-01-01T00:00:01.000");
@@ -32,7 +32,7 @@
 
 BOOST_AUTO_TEST_CASE(line_without_a_time_is_read)
 {
-    const auto line = parse_log_line("level=INFO log: Lines lost. count=3");
+    const auto line = parse_line("level=INFO log: Lines lost. count=3");
     BOOST_REQUIRE(line);
     BOOST_TEST(line->time.empty());
     BOOST_TEST(line->value("count") == "3");
@@ -42,7 +42,7 @@
 {
     for (const auto* other :
          {"", "level=", "level=INFO", "level=INFO hello", "a: b. c=d", "level=INFO part: no end"}) {
-        BOOST_TEST(!parse_log_line(other).has_value());
+        BOOST_TEST(!parse_line(other).has_value());
     }
 }
 
