Read again: one mechanism for names of values, state that can be derived goes, one settings document of the process tests

Names of enumerations were switches in seven files and an array in an eighth; a counter's name could stand in another's place. The share of a cold target was worked out in the daemon and again in its test, so a fault in the daemon's would not have been seen. Kept twice: the rule of a moving version, the version in force and when, the count of a histogram. Two process tests had the same settings document. Change: core/enum_names.hpp (complete and in order at compile time), rate_among beside share_among and used by the test, move_keeper asks the registry, cluster_view knows when its table came, the count is the sum of the buckets, entry_pages.cpp split off entry_instance.cpp, relay_settings in common.sh; the soak counts what targets of both versions got instead of dividing requests by the kinds of callers; "heartbeat" instead of "signs of life"; the policy's linger says what none means.

--- a/include/knapweedchute/core/latency_histogram.hpp
+++ b/include/knapweedchute/core/latency_histogram.hpp
@@ -27,15 +27,11 @@
     [[nodiscard]] auto prometheus_text(const std::string& name, const std::string& labels) const
         -> std::string;
 
-    /// \brief Times noted.
-    [[nodiscard]] auto count() const noexcept -> std::uint64_t { return count_; }
-
 private:
     using axis = boost::histogram::axis::variable<double>;
 
     boost::histogram::histogram<std::tuple<axis>, boost::histogram::dense_storage<std::uint32_t>>
         buckets_;
-    std::uint64_t count_ = 0;
     double sum_s_ = 0.0;
 };
 
--- a/include/knapweedchute/entry/cluster_view.hpp
+++ b/include/knapweedchute/entry/cluster_view.hpp
@@ -18,7 +18,7 @@
 
     /// \brief Takes a route table over unless it is older than the one in force.
     /// \returns Whether it was taken over.
-    auto adopt(std::shared_ptr<const route_table> table) -> bool;
+    auto adopt(std::shared_ptr<const route_table> table, time_point now) -> bool;
 
     /// \brief Notes that the first whole list of targets has been read.
     auto complete_targets() noexcept -> void { targets_known_ = true; }
@@ -30,6 +30,8 @@
     {
         return table_;
     }
+    /// \brief When the table in force was taken over.
+    [[nodiscard]] auto adopted_at() const noexcept -> time_point { return adopted_at_; }
     [[nodiscard]] auto targets() noexcept -> target_registry& { return targets_; }
     [[nodiscard]] auto targets() const noexcept -> const target_registry& { return targets_; }
     [[nodiscard]] auto versions() noexcept -> version_watch& { return versions_; }
@@ -37,6 +39,7 @@
 
 private:
     std::shared_ptr<const route_table> table_;
+    time_point adopted_at_;
     target_registry targets_;
     version_watch versions_;
     move_keeper moves_;
--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -112,9 +112,7 @@
     std::size_t preferred_ = 0;
     bool is_preferred_ = false;
     time_point instances_noted_;
-    duration longest_lag_{0};           ///< Of the loop, lately.
-    std::optional<time_point> adopted_; ///< When the table in force was.
-    std::uint64_t adopted_version_ = 0;
+    duration longest_lag_{0}; ///< Of the loop, lately.
     bool stopping_ = false;
 };
 
--- a/include/knapweedchute/feed/feed_listener.hpp
+++ b/include/knapweedchute/feed/feed_listener.hpp
@@ -19,7 +19,8 @@
     virtual ~feed_listener() = default;
 
     /// \brief A key holds a value.
-    /// \returns Whether it says anything that was not known: signs of life alone are not passed on.
+    /// \returns Whether it says anything that was not known: a heartbeat that changes nothing is
+    ///          not passed on.
     virtual auto put(const feed_event& state) -> bool = 0;
 
     /// \brief A key is gone.
--- a/include/knapweedchute/membership/ownership.hpp
+++ b/include/knapweedchute/membership/ownership.hpp
@@ -52,4 +52,12 @@
 [[nodiscard]] auto share_among(const std::vector<std::string>& owners, const std::string& instance,
                                std::int64_t limit) -> target_share;
 
+/// \brief Requests per second that one instance may send to a target that bears few.
+/// \detail Only owners send, each whole requests: with a fraction of one a second for everybody,
+/// all
+///         together could send at once.
+/// \param limit Requests per second that the target bears from all instances.
+[[nodiscard]] auto rate_among(const ownership& instances, const address& target,
+                              const std::string& instance, double limit) -> double;
+
 } // namespace knapweedchute
--- a/include/knapweedchute/move/move_keeper.hpp
+++ b/include/knapweedchute/move/move_keeper.hpp
@@ -75,12 +75,11 @@
         std::optional<move_record> stored;
         time_point stored_since;
         std::optional<wanted_record> wanted;
-        version_rule rule;
     };
 
     auto advance_one(moving& one, time_point now, std::int64_t unix_ms) -> void;
     auto want(moving& one, const move_record& record, time_point now) -> void;
-    auto apply(moving& one, const move_decision& decision) -> void;
+    auto apply(const moving& one, const move_decision& decision) -> void;
     [[nodiscard]] auto decide(const moving& one, std::int64_t unix_ms) -> move_decision;
 
     target_registry* registry_;
--- a/include/knapweedchute/relay/impl/trace_entry.hpp
+++ b/include/knapweedchute/relay/impl/trace_entry.hpp
@@ -21,24 +21,7 @@
 };
 
 /// \brief Name of a step for logs.
-[[nodiscard]] constexpr auto to_string(trace_step step) noexcept -> std::string_view
-{
-    switch (step) {
-    case trace_step::send:
-        return "send";
-    case trace_step::hedge:
-        return "hedge";
-    case trace_step::retry:
-        return "retry";
-    case trace_step::wait:
-        return "wait";
-    case trace_step::no_target:
-        return "no_target";
-    case trace_step::end:
-        return "end";
-    }
-    return "invalid";
-}
+[[nodiscard]] auto to_string(trace_step step) noexcept -> std::string_view;
 
 /// \brief One step with what was known then.
 struct trace_entry
--- a/include/knapweedchute/relay/relay_policy.hpp
+++ b/include/knapweedchute/relay/relay_policy.hpp
@@ -14,7 +14,7 @@
     /// Kept free before a route's latency goal, for the way to and from the caller.
     duration goal_margin = milliseconds{14};
     /// How long an exchange whose answer is no longer needed may go on, so that its connection
-    /// is kept: a pause of a target is over by then.
+    /// is kept. None: cancelling at once frees the target's slot; `bench_requests` compares.
     duration linger = milliseconds{0};
     /// Least time left for which a target is asked at all.
     duration least_useful = milliseconds{4};
--- a/src/core/counter.cpp
+++ b/src/core/counter.cpp
@@ -1,48 +1,50 @@
 #include <knapweedchute/core/counter.hpp>
-
-#include <array>
+#include <knapweedchute/core/enum_names.hpp>
 
 namespace knapweedchute {
 namespace {
 
-constexpr auto names = std::array<std::string_view, counter_count>{"queries_received",
-                                                                   "queries_answered",
-                                                                   "queries_partial",
-                                                                   "queries_refused",
-                                                                   "queries_restarted",
-                                                                   "queries_shed",
-                                                                   "parts_sent",
-                                                                   "parts_hedged",
-                                                                   "parts_retried",
-                                                                   "parts_failed",
-                                                                   "parts_cancelled",
-                                                                   "answers_rejected",
-                                                                   "targets_ejected",
-                                                                   "runs_sent",
-                                                                   "runs_refused",
-                                                                   "bad_requests",
-                                                                   "datagrams_sent",
-                                                                   "datagrams_received",
-                                                                   "datagrams_refused",
-                                                                   "datagram_bytes_sent",
-                                                                   "datagram_bytes_received",
-                                                                   "peer_fetches",
-                                                                   "platform_calls",
-                                                                   "platform_failures",
-                                                                   "configurations_adopted",
-                                                                   "configurations_refused",
-                                                                   "callers_left",
-                                                                   "log_lines_held_back",
-                                                                   "store_reads",
-                                                                   "store_watches",
-                                                                   "store_writes",
-                                                                   "store_calls_lost"};
+constexpr auto names = enum_names<counter, counter_count>{{
+    {counter::queries_received, "queries_received"},
+    {counter::queries_answered, "queries_answered"},
+    {counter::queries_partial, "queries_partial"},
+    {counter::queries_refused, "queries_refused"},
+    {counter::queries_restarted, "queries_restarted"},
+    {counter::queries_shed, "queries_shed"},
+    {counter::parts_sent, "parts_sent"},
+    {counter::parts_hedged, "parts_hedged"},
+    {counter::parts_retried, "parts_retried"},
+    {counter::parts_failed, "parts_failed"},
+    {counter::parts_cancelled, "parts_cancelled"},
+    {counter::answers_rejected, "answers_rejected"},
+    {counter::targets_ejected, "targets_ejected"},
+    {counter::runs_sent, "runs_sent"},
+    {counter::runs_refused, "runs_refused"},
+    {counter::bad_requests, "bad_requests"},
+    {counter::datagrams_sent, "datagrams_sent"},
+    {counter::datagrams_received, "datagrams_received"},
+    {counter::datagrams_refused, "datagrams_refused"},
+    {counter::datagram_bytes_sent, "datagram_bytes_sent"},
+    {counter::datagram_bytes_received, "datagram_bytes_received"},
+    {counter::peer_fetches, "peer_fetches"},
+    {counter::platform_calls, "platform_calls"},
+    {counter::platform_failures, "platform_failures"},
+    {counter::configurations_adopted, "configurations_adopted"},
+    {counter::configurations_refused, "configurations_refused"},
+    {counter::callers_left, "callers_left"},
+    {counter::log_lines_held_back, "log_lines_held_back"},
+    {counter::store_reads, "store_reads"},
+    {counter::store_watches, "store_watches"},
+    {counter::store_writes, "store_writes"},
+    {counter::store_calls_lost, "store_calls_lost"},
+}};
+static_assert(is_complete(names, counter::store_calls_lost));
 
 } // namespace
 
 auto to_string(counter which) noexcept -> std::string_view
 {
-    return names.at(static_cast<std::size_t>(which));
+    return name_of(names, which);
 }
 
 } // namespace knapweedchute
--- a/src/core/error_code.cpp
+++ b/src/core/error_code.cpp
@@ -1,52 +1,38 @@
+#include <knapweedchute/core/enum_names.hpp>
 #include <knapweedchute/core/error_code.hpp>
 
 namespace knapweedchute {
+namespace {
+
+constexpr auto names = enum_names<error_code, 20>{{
+    {error_code::malformed, "malformed"},
+    {error_code::invalid_value, "invalid_value"},
+    {error_code::unknown_key, "unknown_key"},
+    {error_code::too_large, "too_large"},
+    {error_code::not_authentic, "not_authentic"},
+    {error_code::unknown_service, "unknown_service"},
+    {error_code::no_configuration, "no_configuration"},
+    {error_code::not_fresh, "not_fresh"},
+    {error_code::no_snapshot, "no_snapshot"},
+    {error_code::overloaded, "overloaded"},
+    {error_code::deadline_exceeded, "deadline_exceeded"},
+    {error_code::coverage_too_low, "coverage_too_low"},
+    {error_code::target_failed, "target_failed"},
+    {error_code::issued_elsewhere, "issued_elsewhere"},
+    {error_code::duplicate_request, "duplicate_request"},
+    {error_code::conflict, "conflict"},
+    {error_code::store_unavailable, "store_unavailable"},
+    {error_code::outcome_unknown, "outcome_unknown"},
+    {error_code::not_found, "not_found"},
+    {error_code::not_permitted, "not_permitted"},
+}};
+static_assert(is_complete(names, error_code::not_permitted));
+
+} // namespace
 
 auto to_string(error_code code) noexcept -> std::string_view
 {
-    switch (code) {
-    case error_code::malformed:
-        return "malformed";
-    case error_code::invalid_value:
-        return "invalid_value";
-    case error_code::unknown_key:
-        return "unknown_key";
-    case error_code::too_large:
-        return "too_large";
-    case error_code::not_authentic:
-        return "not_authentic";
-    case error_code::unknown_service:
-        return "unknown_service";
-    case error_code::no_configuration:
-        return "no_configuration";
-    case error_code::not_fresh:
-        return "not_fresh";
-    case error_code::no_snapshot:
-        return "no_snapshot";
-    case error_code::overloaded:
-        return "overloaded";
-    case error_code::deadline_exceeded:
-        return "deadline_exceeded";
-    case error_code::coverage_too_low:
-        return "coverage_too_low";
-    case error_code::target_failed:
-        return "target_failed";
-    case error_code::issued_elsewhere:
-        return "issued_elsewhere";
-    case error_code::duplicate_request:
-        return "duplicate_request";
-    case error_code::conflict:
-        return "conflict";
-    case error_code::store_unavailable:
-        return "store_unavailable";
-    case error_code::outcome_unknown:
-        return "outcome_unknown";
-    case error_code::not_found:
-        return "not_found";
-    case error_code::not_permitted:
-        return "not_permitted";
-    }
-    return "invalid_error_code";
+    return name_of(names, code);
 }
 
 } // namespace knapweedchute
--- a/src/core/latency_histogram.cpp
+++ b/src/core/latency_histogram.cpp
@@ -28,7 +28,6 @@
     const auto time_s = std::chrono::duration<double>(time).count();
     buckets_(time_s);
     sum_s_ += time_s;
-    count_ += 1;
 }
 
 auto latency_histogram::prometheus_text(const std::string& name, const std::string& labels) const
@@ -51,10 +50,11 @@
         add_line("_bucket", "{" + separated + "le=\"" + number(bucket.bin().upper()) + "\"}",
                  std::to_string(below));
     }
+    const auto count = static_cast<std::uint64_t>(boost::histogram::algorithm::sum(buckets_));
     const auto braced = labels.empty() ? labels : "{" + labels + "}";
-    add_line("_bucket", "{" + separated + "le=\"+Inf\"}", std::to_string(count_));
+    add_line("_bucket", "{" + separated + "le=\"+Inf\"}", std::to_string(count));
     add_line("_sum", braced, number(sum_s_));
-    add_line("_count", braced, std::to_string(count_));
+    add_line("_count", braced, std::to_string(count));
     return text;
 }
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -7,7 +7,6 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace knapweedchute {
@@ -179,10 +178,6 @@
         peers_.announce(member_state::alive);
         log_line.info("Serving callers.");
     }
-    if (view_.table() && view_.table()->version() != adopted_version_) {
-        adopted_version_ = view_.table()->version();
-        adopted_ = now;
-    }
     timers_.at(now + housekeeping_interval, [this, due = now + housekeeping_interval] {
         note_lag(due);
         keep_house();
@@ -247,67 +242,7 @@
     if (limit <= 0.0) {
         return std::nullopt;
     }
-    // Whole requests only: with a fraction of one a second each, all together could send at once.
-    const auto owners = owners_.owners(target.where, std::llround(limit));
-    const auto among = std::find(owners.begin(), owners.end(), settings_.instance);
-    return among == owners.end() ? 0.0 : limit / static_cast<double>(owners.size());
-}
-
-auto entry_instance::answer_readiness() const -> relayed_answer
-{
-    const auto ready = view_.ready() && !stopping_;
-    return ready
-               ? own_answer(status_ok, "")
-               : not_run_answer(stopping_ ? "stopping" : "no configuration yet", milliseconds{250});
-}
-
-auto entry_instance::answer_addresses() -> relayed_answer
-{
-    const auto chosen = choice_.choose(peers_.members(), {}, {});
-    if (chosen.empty()) {
-        return not_run_answer("no instance is ready", milliseconds{250});
-    }
-    return {status_ok,
-            {{"Content-Type", "application/json"}},
-            names_.encode_addresses(chosen, settings_.address_lifetime)};
-}
-
-auto entry_instance::answer_metrics() const -> relayed_answer
-{
-    const auto now = timers_.now();
-    const auto seconds_of = [](duration time) {
-        return std::chrono::duration<double>(time).count();
-    };
-    auto use = rusage{};
-    getrusage(RUSAGE_SELF, &use);
-    auto text = counters_.prometheus_text() + coordinator_.metrics().prometheus_text();
-    text += gauge_text("config_version", "", static_cast<double>(adopted_version_));
-    text += gauge_text("config_in_force_seconds", "", adopted_ ? seconds_of(now - *adopted_) : 0.0);
-    text += gauge_text("targets", "", static_cast<double>(view_.targets().size()));
-    text += gauge_text("instances", "", static_cast<double>(instances_));
-    text += gauge_text("connections", "", static_cast<double>(pool_.open_connections()));
-    text += gauge_text("requests_in_progress", "", static_cast<double>(coordinator_.in_progress()));
-    text += gauge_text("loop_lag_seconds", "", seconds_of(longest_lag_));
-    text += gauge_text("memory_peak_bytes", "", static_cast<double>(use.ru_maxrss) * 1024.0);
-    text += gauge_text("log_lines_lost", "", static_cast<double>(lost_log_lines()));
-    return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)};
-}
-
-auto entry_instance::answer_state() const -> relayed_answer
-{
-    auto members = nlohmann::json::array();
-    for (const auto& known : peers_.members()) {
-        members.push_back({{"instance", known.instance},
-                           {"zone", known.availability_zone},
-                           {"state", std::string{to_string(known.state)}}});
-    }
-    const auto body = nlohmann::json{{"instance", settings_.instance},
-                                     {"version", view_.table() ? view_.table()->version() : 0},
-                                     {"targets", view_.targets().size()},
-                                     {"members", members},
-                                     {"connections", pool_.open_connections()},
-                                     {"in_progress", coordinator_.in_progress()}};
-    return {status_ok, {{"Content-Type", "application/json"}}, body.dump()};
+    return rate_among(owners_, target.where, settings_.instance, limit);
 }
 
 } // namespace knapweedchute
--- /dev/null
+++ b/src/entry/entry_pages.cpp
@@ -0,0 +1,80 @@
+// The part of entry_instance that answers questions about itself.
+#include <knapweedchute/core/gauge_text.hpp>
+#include <knapweedchute/core/log.hpp>
+#include <knapweedchute/entry/entry_instance.hpp>
+#include <knapweedchute/relay/refusal_answer.hpp>
+
+#include <nlohmann/json.hpp>
+#include <sys/resource.h>
+
+#include <utility>
+
+namespace knapweedchute {
+namespace {
+
+constexpr auto status_ok = 200U;
+/// An instance that is not ready can not know when it will be; this is an open question to the
+/// users.
+constexpr auto retry_after = milliseconds{250};
+
+} // namespace
+
+auto entry_instance::answer_readiness() const -> relayed_answer
+{
+    const auto ready = view_.ready() && !stopping_;
+    return ready ? own_answer(status_ok, "")
+                 : not_run_answer(stopping_ ? "stopping" : "no configuration yet", retry_after);
+}
+
+auto entry_instance::answer_addresses() -> relayed_answer
+{
+    const auto chosen = choice_.choose(peers_.members(), {}, {});
+    if (chosen.empty()) {
+        return not_run_answer("no instance is ready", retry_after);
+    }
+    return {status_ok,
+            {{"Content-Type", "application/json"}},
+            names_.encode_addresses(chosen, settings_.address_lifetime)};
+}
+
+auto entry_instance::answer_metrics() const -> relayed_answer
+{
+    const auto now = timers_.now();
+    const auto seconds_of = [](duration time) {
+        return std::chrono::duration<double>(time).count();
+    };
+    auto use = rusage{};
+    getrusage(RUSAGE_SELF, &use);
+    auto text = counters_.prometheus_text() + coordinator_.metrics().prometheus_text();
+    const auto& table = view_.table();
+    text += gauge_text("config_version", "", table ? static_cast<double>(table->version()) : 0.0);
+    text += gauge_text("config_in_force_seconds", "",
+                       table ? seconds_of(now - view_.adopted_at()) : 0.0);
+    text += gauge_text("targets", "", static_cast<double>(view_.targets().size()));
+    text += gauge_text("instances", "", static_cast<double>(instances_));
+    text += gauge_text("connections", "", static_cast<double>(pool_.open_connections()));
+    text += gauge_text("requests_in_progress", "", static_cast<double>(coordinator_.in_progress()));
+    text += gauge_text("loop_lag_seconds", "", seconds_of(longest_lag_));
+    text += gauge_text("memory_peak_bytes", "", static_cast<double>(use.ru_maxrss) * 1024.0);
+    text += gauge_text("log_lines_lost", "", static_cast<double>(lost_log_lines()));
+    return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)};
+}
+
+auto entry_instance::answer_state() const -> relayed_answer
+{
+    auto members = nlohmann::json::array();
+    for (const auto& known : peers_.members()) {
+        members.push_back({{"instance", known.instance},
+                           {"zone", known.availability_zone},
+                           {"state", std::string{to_string(known.state)}}});
+    }
+    const auto body = nlohmann::json{{"instance", settings_.instance},
+                                     {"version", view_.table() ? view_.table()->version() : 0},
+                                     {"targets", view_.targets().size()},
+                                     {"members", members},
+                                     {"connections", pool_.open_connections()},
+                                     {"in_progress", coordinator_.in_progress()}};
+    return {status_ok, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+} // namespace knapweedchute
--- a/src/membership/member_state.cpp
+++ b/src/membership/member_state.cpp
@@ -1,24 +1,24 @@
+#include <knapweedchute/core/enum_names.hpp>
 #include <knapweedchute/membership/member_state.hpp>
 
 namespace knapweedchute {
+namespace {
+
+constexpr auto names = enum_names<member_state, 6>{{
+    {member_state::joining, "joining"},
+    {member_state::alive, "alive"},
+    {member_state::leaving, "leaving"},
+    {member_state::suspect, "suspect"},
+    {member_state::dead, "dead"},
+    {member_state::left, "left"},
+}};
+static_assert(is_complete(names, member_state::left));
+
+} // namespace
 
 auto to_string(member_state state) noexcept -> std::string_view
 {
-    switch (state) {
-    case member_state::joining:
-        return "joining";
-    case member_state::alive:
-        return "alive";
-    case member_state::leaving:
-        return "leaving";
-    case member_state::suspect:
-        return "suspect";
-    case member_state::dead:
-        return "dead";
-    case member_state::left:
-        return "left";
-    }
-    return "invalid";
+    return name_of(names, state);
 }
 
 } // namespace knapweedchute
--- a/src/membership/ownership.cpp
+++ b/src/membership/ownership.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace knapweedchute {
@@ -73,4 +74,12 @@
     return {position, count, limit / count + (position < limit % count ? 1 : 0)};
 }
 
+auto rate_among(const ownership& instances, const address& target, const std::string& instance,
+                double limit) -> double
+{
+    const auto owners = instances.owners(target, std::llround(limit));
+    const auto found = std::find(owners.begin(), owners.end(), instance);
+    return found == owners.end() ? 0.0 : limit / static_cast<double>(owners.size());
+}
+
 } // namespace knapweedchute
--- a/src/move/move_keeper.cpp
+++ b/src/move/move_keeper.cpp
@@ -52,9 +52,8 @@
     }
     auto started = moving{};
     started.order = wanted;
-    started.rule = {wanted.to, version_use::held, 0};
     watch_->begin(wanted.service, wanted.to);
-    registry_->set_version_rule(wanted.service, started.rule);
+    registry_->set_version_rule(wanted.service, version_rule{wanted.to, version_use::held, 0});
     moves_[wanted.service] = std::move(started);
     log_line.info("Move ordered.", {{"service", wanted.service},
                                     {"version", wanted.to},
@@ -197,7 +196,7 @@
     }
 }
 
-auto move_keeper::apply(moving& one, const move_decision& decision) -> void
+auto move_keeper::apply(const moving& one, const move_decision& decision) -> void
 {
     const auto handed_over =
         one.stored && (one.stored->handed_over || one.stored->result == move_result::finished);
@@ -210,8 +209,8 @@
         rule.use = version_use::on_trial;
         rule.share_permil = trial_permil;
     }
-    if (rule != one.rule) {
-        one.rule = rule;
+    const auto* in_force = registry_->rule_of(one.order.service);
+    if (in_force == nullptr || *in_force != rule) {
         registry_->set_version_rule(one.order.service, rule);
     }
 }
--- a/src/query/attempt_failure.cpp
+++ b/src/query/attempt_failure.cpp
@@ -1,30 +1,27 @@
+#include <knapweedchute/core/enum_names.hpp>
 #include <knapweedchute/query/attempt_failure.hpp>
 
 namespace knapweedchute {
+namespace {
+
+constexpr auto names = enum_names<attempt_failure, 9>{{
+    {attempt_failure::not_connected, "not_connected"},
+    {attempt_failure::shed, "shed"},
+    {attempt_failure::leaving, "leaving"},
+    {attempt_failure::snapshot_gone, "snapshot_gone"},
+    {attempt_failure::silent, "silent"},
+    {attempt_failure::timed_out, "timed_out"},
+    {attempt_failure::broken, "broken"},
+    {attempt_failure::failed, "failed"},
+    {attempt_failure::peer_failed, "peer_failed"},
+}};
+static_assert(is_complete(names, attempt_failure::peer_failed));
+
+} // namespace
 
 auto to_string(attempt_failure failure) noexcept -> std::string_view
 {
-    switch (failure) {
-    case attempt_failure::not_connected:
-        return "not_connected";
-    case attempt_failure::shed:
-        return "shed";
-    case attempt_failure::leaving:
-        return "leaving";
-    case attempt_failure::snapshot_gone:
-        return "snapshot_gone";
-    case attempt_failure::silent:
-        return "silent";
-    case attempt_failure::timed_out:
-        return "timed_out";
-    case attempt_failure::broken:
-        return "broken";
-    case attempt_failure::failed:
-        return "failed";
-    case attempt_failure::peer_failed:
-        return "peer_failed";
-    }
-    return "invalid";
+    return name_of(names, failure);
 }
 
 auto outcome_of(attempt_failure failure) noexcept -> outcome
--- a/src/relay/exchange_result.cpp
+++ b/src/relay/exchange_result.cpp
@@ -1,22 +1,23 @@
+#include <knapweedchute/core/enum_names.hpp>
 #include <knapweedchute/relay/exchange_result.hpp>
 
 namespace knapweedchute {
+namespace {
+
+constexpr auto names = enum_names<exchange_end, 5>{{
+    {exchange_end::not_run, "not_run"},
+    {exchange_end::wrong_target, "wrong_target"},
+    {exchange_end::answered, "answered"},
+    {exchange_end::broken, "broken"},
+    {exchange_end::unknown, "unknown"},
+}};
+static_assert(is_complete(names, exchange_end::unknown));
+
+} // namespace
 
 auto to_string(exchange_end end) noexcept -> std::string_view
 {
-    switch (end) {
-    case exchange_end::not_run:
-        return "not_run";
-    case exchange_end::wrong_target:
-        return "wrong_target";
-    case exchange_end::answered:
-        return "answered";
-    case exchange_end::broken:
-        return "broken";
-    case exchange_end::unknown:
-        return "unknown";
-    }
-    return "invalid";
+    return name_of(names, end);
 }
 
 } // namespace knapweedchute
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -41,4 +41,14 @@
  "freshness_limit_ms": 1500, "address_lifetime_ms": $4}
 JSON
 }
+relay_settings() { # FIRST_PORT: settings of knapweedchute-entryd, whose ports follow each other
+    cat >"$work/entry.json" <<JSON
+{"instance": "i1", "availability_zone": "a", "caller_address": "127.0.0.1:$1",
+ "readiness_address": "127.0.0.1:$(($1 + 1))", "directory_address": "127.0.0.1:$(($1 + 2))",
+ "admin_address": "127.0.0.1:$(($1 + 3))", "peer_address": "127.0.0.1:$(($1 + 4))", "seeds": [],
+ "processor_share": 0.25, "cores": 1, "store_address": "127.0.0.1:$(($1 + 5))",
+ "address_lifetime_ms": 200, "stop_grace_s": 3, "extra_window_s": 10, "extra_ratio": 0.2,
+ "extra_allowance": 58}
+JSON
+}
 export KNAPWEEDCTL_OPERATOR_KEY=process-test-key-02
--- a/tests/process/entry_daemon.sh
+++ b/tests/process/entry_daemon.sh
@@ -3,14 +3,7 @@
 # a stop during an outage of the store ends with exit code 0 within the grace.
 . "$(dirname "$0")/common.sh"
 settings() { # KEY VALUE: the settings with one key changed
-    cat >"$work/entry.json" <<JSON
-{"instance": "i1", "availability_zone": "a", "caller_address": "127.0.0.1:23101",
- "readiness_address": "127.0.0.1:23102", "directory_address": "127.0.0.1:23103",
- "admin_address": "127.0.0.1:23104", "peer_address": "127.0.0.1:23105", "seeds": [],
- "processor_share": 0.25, "cores": 1, "store_address": "127.0.0.1:23106",
- "address_lifetime_ms": 200, "stop_grace_s": 3, "extra_window_s": 10, "extra_ratio": 0.2,
- "extra_allowance": 58}
-JSON
+    relay_settings 23101
     [ $# = 0 ] || sed -i "s|\"$1\": [^,}]*|\"$1\": $2|" "$work/entry.json"
 }
 faults() { "$bin/knapweedchute-entryd" --check-settings --settings "$work/entry.json" 2>&1 || true; }
--- a/tests/process/operations_page.sh
+++ b/tests/process/operations_page.sh
@@ -21,14 +21,7 @@
 grep -oE '^\| `[a-z]+: [^`]+`' "$page" | cut -d'`' -f2 >"$work/told"
 while read -r line; do grep -qxF "$line" "$work/written" || fail "not in the code: $line"; done <"$work/told"
 
-cat >"$work/entry.json" <<JSON
-{"instance": "i1", "availability_zone": "a", "caller_address": "127.0.0.1:23201",
- "readiness_address": "127.0.0.1:23202", "directory_address": "127.0.0.1:23203",
- "admin_address": "127.0.0.1:23204", "peer_address": "127.0.0.1:23205", "seeds": [],
- "processor_share": 0.25, "cores": 1, "store_address": "127.0.0.1:23206",
- "address_lifetime_ms": 200, "stop_grace_s": 3, "extra_window_s": 10, "extra_ratio": 0.2,
- "extra_allowance": 58}
-JSON
+relay_settings 23201
 mkfifo "$work/output"
 exec 9<>"$work/output" # held open and never read
 "$bin/knapweedchute-entryd" --settings "$work/entry.json" >&9 2>&1 &
--- a/tests/soak/soak_calm.cpp
+++ b/tests/soak/soak_calm.cpp
@@ -110,7 +110,7 @@
 {
     const auto bad = options_.seed % 2 == 1;
     const auto first_new = targets_.size();
-    const auto runs_before = next_request_;
+    const auto before = arrivals_between(0, first_new);
     store_.put(
         "op/rollout/m",
         nlohmann::json{{"service", "m"}, {"targetVersion", "v2"}, {"durationS", move_length_s}}
@@ -137,14 +137,23 @@
         }
     }
     expect_served("after the move");
-    auto arrivals = std::size_t{0};
-    for (auto index = first_new; index < targets_.size(); ++index) {
-        arrivals += targets_.at(index).target->arrivals();
+    const auto exposed = arrivals_between(first_new, targets_.size());
+    const auto all = exposed + arrivals_between(0, first_new) - before;
+    if (bad &&
+        static_cast<double>(exposed) > static_cast<double>(all) * exposed_share + exposed_slack) {
+        faults_.push_back("a bad version got " + std::to_string(exposed) + " requests of " +
+                          std::to_string(all));
     }
-    const auto moved = static_cast<double>(next_request_ - runs_before) / 5.0;
-    if (bad && static_cast<double>(arrivals) > moved * exposed_share + exposed_slack) {
-        faults_.push_back("a bad version got " + std::to_string(arrivals) + " requests");
+}
+
+auto soak_world::arrivals_between(std::size_t first, std::size_t last) const -> std::size_t
+{
+    auto count = std::size_t{0};
+    for (auto index = first; index < last; ++index) {
+        const auto& target = *targets_.at(index).target;
+        count += target.service() == "m" ? target.arrivals() : 0;
     }
+    return count;
 }
 
 auto soak_world::stop_all() -> void
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -20,7 +20,7 @@
 constexpr auto shards = 6;
 constexpr auto configured = 4;
 constexpr auto entries = 4;
-constexpr auto beat_interval = milliseconds{1'200};
+constexpr auto heartbeat_interval = milliseconds{1'200};
 constexpr auto keep_interval = milliseconds{100};
 constexpr auto call_timeout = milliseconds{1'500};
 constexpr auto caller_pause = milliseconds{15};
@@ -87,7 +87,7 @@
     for (auto index = std::size_t{0}; index < entries; ++index) {
         add_entry(zones.at(index % zones.size()));
     }
-    beat();
+    write_heartbeats();
     keep_running();
 }
 
@@ -125,7 +125,7 @@
                                                  .dump());
 }
 
-auto soak_world::beat() -> void
+auto soak_world::write_heartbeats() -> void
 {
     sequence_ += 1;
     for (const auto& one : targets_) {
@@ -133,7 +133,7 @@
             write_target(one);
         }
     }
-    later(beat_interval, [this] { beat(); });
+    later(heartbeat_interval, [this] { write_heartbeats(); });
 }
 
 auto soak_world::write_configuration() -> void
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -76,7 +76,7 @@
                         const std::string& zone, std::uint32_t ip) const -> void;
     auto write_configuration() -> void;
     auto write_target(const placed_target& of) -> void;
-    auto beat() -> void;
+    auto write_heartbeats() -> void;
     auto ask(std::size_t index) -> void;
     auto draw_fault() -> void;
     auto keep_running() -> void;
@@ -102,6 +102,8 @@
     auto take_zone_out() -> void;
     auto move_version() -> void;
     auto stop_all() -> void;
+    /// \brief Requests that targets of the moved service got, from one target up to another.
+    [[nodiscard]] auto arrivals_between(std::size_t first, std::size_t last) const -> std::size_t;
     /// @}
 
     [[nodiscard]] auto drawn(std::size_t below) -> std::size_t { return random_() % below; }
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -184,13 +184,13 @@
     BOOST_TEST(!listener.last_hold.has_value());
 }
 
-BOOST_AUTO_TEST_CASE(feed_sign_of_life_alone_is_not_passed_on)
+BOOST_AUTO_TEST_CASE(feed_heartbeat_that_changes_nothing_is_not_passed_on)
 {
     start();
     const auto before = keeper->copy()->revision();
-    auto beat = store.items.at("servers/a");
-    beat.revision = 20;
-    store.change(beat);
+    auto heartbeat = store.items.at("servers/a");
+    heartbeat.revision = 20;
+    store.change(heartbeat);
     timers.advance(seconds{5});
     BOOST_REQUIRE(keeper->copy() != nullptr);
     BOOST_TEST(keeper->copy()->revision() == 20U);
--- a/tests/unit/relay/cold_limiter_test.cpp
+++ b/tests/unit/relay/cold_limiter_test.cpp
@@ -4,7 +4,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <random>
 #include <vector>
 
@@ -65,11 +64,11 @@
             for (auto index = 0; index < count; ++index) {
                 names.push_back("i" + std::to_string(index));
             }
-            const auto owners = ownership{names}.owners(cold_target().where, std::llround(limit));
+            const auto instances = ownership{names};
             auto limiters = std::vector<cold_limiter>{};
-            for (auto index = std::size_t{0}; index < owners.size(); ++index) {
-                limiters.emplace_back([&](const auto& /*target*/) {
-                    return limit / static_cast<double>(owners.size());
+            for (const auto& name : names) {
+                limiters.emplace_back([&](const auto& target) {
+                    return rate_among(instances, target.where, name, limit);
                 });
             }
             auto arrivals = std::vector<std::int64_t>{};
