--- a/src/net/call_client.cpp
+++ b/src/net/call_client.cpp
@@ -1,3 +1,5 @@
+#include "message_text.hpp"
+
 #include <knapweedchute/net/call_client.hpp>
 
 #include <utility>
@@ -35,13 +37,17 @@
 auto call_client::encode(std::string_view method, std::string_view target,
                          std::string_view body) const -> std::string
 {
-    auto text = std::string{method} + " " + std::string{target} +
-                " HTTP/1.1\r\nHost: " + to_string(where_) + "\r\n";
-    if (!body.empty() || method == "POST") {
-        text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                "\r\n";
+    namespace http = boost::beast::http;
+    auto message = http::request<http::string_body>{};
+    message.version(impl::http_1_1);
+    message.method_string({method.data(), method.size()});
+    message.target({target.data(), target.size()});
+    message.set(http::field::host, to_string(where_));
+    if (!body.empty()) {
+        message.set(http::field::content_type, "application/json");
     }
-    return text + "\r\n" + std::string{body};
+    message.body() = body;
+    return impl::text_of(std::move(message));
 }
 
 auto call_client::next() -> void
