--- a/tests/unit/net/caller_session_test.cpp
+++ b/tests/unit/net/caller_session_test.cpp
@@ -32,12 +32,13 @@
     auto leave(std::uint64_t request) -> void override { left += request == 7 ? 1 : 0; }
     [[nodiscard]] auto limits() const -> caller_limits override
     {
-        return {400, 64, milliseconds{150}, milliseconds{300}};
+        return {400, 64, milliseconds{150}, idle_timeout.load()};
     }
 
     responder held;
     std::atomic<int> handled{0};
     std::atomic<int> left{0};
+    std::atomic<milliseconds> idle_timeout{milliseconds{300}};
 };
 
 struct session_fixture
@@ -137,6 +138,15 @@
     BOOST_TEST(status_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab") == "408");
 }
 
+BOOST_AUTO_TEST_CASE(request_header_too_slow_does_not_wait_for_the_idle_time)
+{
+    constexpr auto idle = seconds{20};
+    handler.idle_timeout = idle;
+    const auto sent = steady_clock::now();
+    BOOST_TEST(status_of("GET / HTTP/1.1\r\nHost:") == "408");
+    BOOST_TEST((steady_clock::now() - sent < idle / 2));
+}
+
 BOOST_AUTO_TEST_CASE(connection_idle_is_closed_without_a_word)
 {
     BOOST_TEST(send_raw(port, "").empty());
