Four guarantees get the check that their mutants had escaped

Change: a disowned target stays out when its entry changes; a stopped version stays stopped when the old one fails as much (no store); the record of the order before is still stored and heard when the next is given; cluster_view_suite.

--- /dev/null
+++ b/tests/unit/entry/cluster_view_test.cpp
@@ -0,0 +1,42 @@
+#include <knapweedchute/entry/cluster_view.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace knapweedchute;
+
+namespace {
+
+auto table_of(std::uint64_t version) -> std::shared_ptr<const route_table>
+{
+    return std::make_shared<const route_table>(version, std::vector<route>{},
+                                               std::vector<service_rules>{}, caller_limits{});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(cluster_view_suite)
+
+BOOST_AUTO_TEST_CASE(table_older_or_equal_never_replaces_a_newer_one)
+{
+    auto view = cluster_view{1};
+    BOOST_TEST(view.adopt(table_of(7), time_point{seconds{1}}));
+    for (const auto version : {6U, 7U}) {
+        BOOST_TEST(!view.adopt(table_of(version), time_point{seconds{2}}));
+    }
+    BOOST_TEST(view.table()->version() == 7U);
+    BOOST_TEST((view.adopted_at() == time_point{seconds{1}}));
+    BOOST_TEST(view.adopt(table_of(8), time_point{seconds{3}}));
+    BOOST_TEST(view.table()->version() == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(view_is_ready_with_a_table_and_all_targets)
+{
+    auto view = cluster_view{1};
+    BOOST_TEST(!view.ready());
+    view.complete_targets();
+    BOOST_TEST(!view.ready());
+    view.adopt(table_of(1), {});
+    BOOST_TEST(view.ready());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/move/move_keeper_test.cpp
+++ b/tests/unit/move/move_keeper_test.cpp
@@ -92,7 +92,8 @@
 
     auto store(const move_record& record) -> void
     {
-        const auto ended = stored && stored->result != move_result::running;
+        const auto ended =
+            stored && stored->order == record.order && stored->result != move_result::running;
         if (!store_up || ended) {
             return;
         }
@@ -217,6 +218,18 @@
     BOOST_TEST((ends.front() == move_result::taken_back));
 }
 
+BOOST_AUTO_TEST_CASE(bad_version_stays_stopped_when_the_old_one_fails_too)
+{
+    new_failures = [] { return 0.4; };
+    tell_order(5);
+    store_up = false;
+    run(seconds{5});
+    BOOST_REQUIRE(all_shares_are(0.0));
+    old_failures = 0.9;
+    run(seconds{20});
+    BOOST_TEST(all_shares_are(0.0));
+}
+
 BOOST_AUTO_TEST_CASE(bad_version_without_news_is_stopped_by_each_instance_alone)
 {
     new_failures = [] { return 0.5; };
@@ -259,8 +272,11 @@
     BOOST_REQUIRE(all_shares_are(0.0));
     new_failures = [] { return 0.0; };
     order.number = 9;
-    stored.reset();
     tell_order(5);
+    // The record of the order before is still stored, and heard again.
+    for (auto& one : instances) {
+        one->keeper.on_record(service_name, *stored, now);
+    }
     run(seconds{20});
     BOOST_TEST(all_shares_are(1.0));
     BOOST_TEST(ends.size() == 2U);
--- a/tests/unit/relay/relay_parts_test.cpp
+++ b/tests/unit/relay/relay_parts_test.cpp
@@ -152,6 +152,10 @@
     registry.disown("x", 1);
     registry.put(target("x", 1));
     BOOST_TEST(registry.usable("s").empty());
+    auto colder = target("x", 1);
+    colder.cold_until = at(9'000);
+    registry.put(colder);
+    BOOST_TEST(registry.usable("s").empty());
     registry.put(target("x", 2));
     BOOST_TEST(registry.usable("s").size() == 1U);
 }
