Requests above the capacity of the targets wait or are rejected before any part is sent

Cause: congestion collapse. Past the capacity, each query sent its parts to full queues; one shard after another rejected them, the query failed or came too late, and the targets had worked for nobody. Change: relay_admission, an object without I/O: a concurrency limit per group of services that follows how requests end, a queue by kind in which no kind starves, rejection at once of what is not expected to start in time or cannot reach its minimum coverage, and return times spread over the rate at which requests end.

--- a/bench/heavy_day.cpp
+++ b/bench/heavy_day.cpp
@@ -11,6 +11,15 @@
 constexpr auto instance_count = 3;
 constexpr auto queries_per_second = 99.0;
 constexpr auto light_share = 0.25;
+/// Mean work of the two kinds of queries, and the standard deviation of its logarithm.
+constexpr auto heavy_work = std::chrono::duration<double, std::milli>(20.0);
+constexpr auto light_work = std::chrono::duration<double, std::milli>(6.7);
+constexpr auto work_spread = 0.35;
+constexpr auto pause = milliseconds{200};
+constexpr auto pause_every = milliseconds{4'500};
+constexpr auto one_way = duration{0};
+/// No query of the day waits for a connection.
+constexpr auto max_connections = std::size_t{1'000};
 constexpr auto heavy_worth = 2.0;
 constexpr auto light_worth = 1.0;
 constexpr auto late_part = 0.1;
@@ -46,14 +55,21 @@
 } // namespace
 
 heavy_day::heavy_day(heavy_policy policy, const relay_policy& steering, std::uint64_t seed)
-    : policy_{policy}, random_{seed}, targets_{timers_, seed}, table_{table()}
+    : policy_{policy}, random_{seed}, targets_{timers_,
+                                               [this](const auto& request) {
+                                                   return work_of(request);
+                                               },
+                                               seed},
+      port_{timers_, targets_, one_way, max_connections}, table_{table()}
 {
     for (auto index = 0; index < shards; ++index) {
         for (auto replica = 0; replica < replicas; ++replica) {
             const auto id = shard_name(index) + "-" + std::to_string(replica);
             registry_.insert_or_update(
                 {id, shard_name(index), {}, replica == 0 ? "a" : "b", "v1", 2, 1, false, {}});
-            auto model = target_model{};
+            auto model = emulator::target_model{};
+            model.pause = pause;
+            model.pause_every = pause_every;
             model.phase = milliseconds{random_() % 4'500};
             targets_.set(id, model);
         }
@@ -63,12 +79,19 @@
         one.extras.set_instance_count(instance_count);
         one.coordinator = std::make_unique<relay_coordinator>(
             steering, names, index % 2 == 0 ? "a" : "b",
-            relay_dependencies{registry_, targets_, timers_, one.extras, one.cold, one.versions,
+            relay_dependencies{registry_, port_, timers_, one.extras, one.cold, one.versions,
                                one.counters},
             seed + static_cast<std::uint64_t>(index));
     }
 }
 
+auto heavy_day::work_of(const std::string& request) -> duration
+{
+    auto spread = std::lognormal_distribution<double>{0.0, work_spread};
+    const auto mean = request.starts_with('l') ? light_work : heavy_work;
+    return std::chrono::duration_cast<duration>(mean * spread(random_));
+}
+
 auto heavy_day::table() const -> std::shared_ptr<const route_table>
 {
     return std::make_shared<const route_table>(
@@ -80,9 +103,11 @@
 
 auto heavy_day::run(duration length) -> void
 {
-    auto pause = std::exponential_distribution<double>{queries_per_second};
+    auto gap = std::exponential_distribution<double>{queries_per_second};
     auto is_light = std::bernoulli_distribution{light_share};
-    auto model = target_model{};
+    auto model = emulator::target_model{};
+    model.pause = pause;
+    model.pause_every = pause_every;
     const auto end = timers_.now() + length;
     auto next_slow = timers_.now();
     while (timers_.now() < end) {
@@ -91,14 +116,14 @@
                 // Every second period has slow replicas, always others.
                 const auto slow = static_cast<int>(random_() % shards) < slow_shards;
                 model.phase = milliseconds{random_() % 4'500};
-                model.speed = slow ? slow_speed : 1.0;
+                model.slowdown = slow ? slow_speed : 1.0;
                 targets_.set(shard_name(index) + "-0", model);
             }
             next_slow += slow_period;
         }
         ask(is_light(random_));
         timers_.advance(
-            std::chrono::duration_cast<duration>(std::chrono::duration<double>(pause(random_))));
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap(random_))));
         for (auto& one : instances_) {
             one->coordinator->retry_waiting();
         }
@@ -147,7 +172,7 @@
     for (const auto& shard : way.shards) {
         const auto& usable = registry_.usable(shard);
         auto order = exchange_order{usable.at(random_() % usable.size()), "", id, true, true};
-        targets_.send(std::move(order), [known, finish, &way](const exchange_result& result) {
+        port_.send(std::move(order), [known, finish, &way](const exchange_result& result) {
             known->answered += result.status == exchange_status::answered ? 1 : 0;
             known->ended += 1;
             if (known->ended == way.shards.size()) {
--- a/bench/heavy_day.hpp
+++ b/bench/heavy_day.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "queued_targets.hpp"
+#include "emulated_port.hpp"
+#include "emulated_targets.hpp"
 #include "support/manual_timer_queue.hpp"
 
 #include <knapweedchute/relay/relay_coordinator.hpp>
@@ -49,13 +50,15 @@
     auto ask(bool light) -> void;
     auto ask_plainly(const route& way, const std::string& id) -> void;
     auto earn(const route& way, time_point asked, std::size_t answered) -> void;
+    [[nodiscard]] auto work_of(const std::string& request) -> duration;
     [[nodiscard]] auto table() const -> std::shared_ptr<const route_table>;
 
     heavy_policy policy_;
     std::mt19937_64 random_;
     test::manual_timer_queue timers_;
     target_registry registry_;
-    queued_targets targets_;
+    emulator::emulated_targets targets_;
+    emulator::emulated_port port_;
     std::vector<std::unique_ptr<instance>> instances_;
     std::shared_ptr<const route_table> table_;
     double earned_ = 0.0;
--- a/include/knapweedchute/core/counter.hpp
+++ b/include/knapweedchute/core/counter.hpp
@@ -14,6 +14,7 @@
     queries_refused,
     queries_restarted,
     queries_shed,
+    queries_waited,
     parts_sent,
     parts_hedged,
     parts_retried,
--- a/include/knapweedchute/relay/impl/relay_call.hpp
+++ b/include/knapweedchute/relay/impl/relay_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <knapweedchute/admission/relay_admission.hpp>
 #include <knapweedchute/relay/exchange_port.hpp>
 #include <knapweedchute/relay/impl/trace_entry.hpp>
 #include <knapweedchute/relay/relayed_answer.hpp>
@@ -27,6 +28,7 @@
     bool failed = false;                        ///< Whether it was abandoned.
     std::optional<exchange_status> last_status; ///< How its latest exchange ended.
     bool may_have_run = false;                  ///< Whether any target may have run it.
+    bool rejected = false;                      ///< Whether a target rejected it as full.
     std::optional<relayed_answer> answer;       ///< Answer that is used.
     std::optional<relayed_answer> failure;      ///< Latest failure that a target reported.
     std::vector<trace_entry> steps;             ///< Steps taken, for the log.
@@ -34,6 +36,14 @@
     [[nodiscard]] auto done() const noexcept -> bool { return failed || answer.has_value(); }
 };
 
+/// \brief Stage of a request.
+enum class call_stage : std::uint8_t
+{
+    waiting,  ///< It waits for admission; nothing was sent.
+    admitted, ///< Its parts are sent.
+    ended     ///< It was answered or cancelled.
+};
+
 /// \brief State of one caller's request in progress.
 struct relay_call
 {
@@ -43,14 +53,20 @@
     relayed_request request;                     ///< Request of the caller.
     std::function<void(relayed_answer)> respond; ///< Receives the final answer; called once.
     std::vector<call_part> parts;                ///< One per shard; a single one for relays.
+    admission_request admission;                 ///< The request as seen by admission.
+    call_stage stage = call_stage::waiting;      ///< Stage of the request.
     time_point started;                          ///< When the request was read.
+    time_point admitted_at;                      ///< When its first part was sent.
     time_point deadline;                         ///< When the answer must be sent.
     timer_id straggler_timer = 0;                ///< Next check for stragglers.
     timer_id goal_timer = 0;                     ///< Fires when the latency goal is about to pass.
     timer_id deadline_timer = 0;                 ///< Fires at `deadline`.
+    timer_id wait_timer = 0;                     ///< Fires when it is too late for admission.
     int straggler_checks = 0;                    ///< Straggler checks made so far.
+    bool shed = false;                           ///< Whether it was rejected before any send.
     bool past_goal = false;                      ///< Whether minimum coverage is now enough.
-    bool ended = false;                          ///< Whether it was answered or cancelled.
+
+    [[nodiscard]] auto ended() const noexcept -> bool { return stage == call_stage::ended; }
 };
 
 } // namespace knapweedchute::impl
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <knapweedchute/admission/relay_admission.hpp>
+#include <knapweedchute/admission/service_capacity.hpp>
 #include <knapweedchute/core/counter_set.hpp>
 #include <knapweedchute/relay/extra_request_window.hpp>
 #include <knapweedchute/relay/header_names.hpp>
@@ -73,6 +75,18 @@
     /// \brief Removes the load records of targets that have left.
     auto remove_unknown() -> void { selector_.remove_unknown(); }
 
+    /// \brief Removes the admission state of services that were not used since `oldest`.
+    auto remove_unused_groups(time_point oldest) -> void { admission_.remove_unused(oldest); }
+
+    /// \brief Sets the number of instances that share the targets, at least 1.
+    auto set_instance_count(std::size_t count) noexcept -> void
+    {
+        capacity_.set_instance_count(count);
+    }
+
+    /// \brief Number of requests that wait for admission.
+    [[nodiscard]] auto waiting() const noexcept -> std::size_t { return admission_.waiting(); }
+
     /// \brief Latencies and outcomes of requests.
     [[nodiscard]] auto metrics() const noexcept -> const relay_metrics& { return metrics_; }
 
@@ -88,6 +102,12 @@
     using call_handler = void (relay_coordinator::*)(const shared_call&);
 
     auto schedule(const shared_call& call, time_point when, call_handler handler) -> timer_id;
+    auto admit(const shared_call& call) -> void;
+    auto begin(const shared_call& call) -> void;
+    auto reject(const shared_call& call, std::string_view reason, const admission_verdict& verdict)
+        -> void;
+    auto on_wait_end(const shared_call& call) -> void;
+    auto admit_waiting(const std::string& group) -> void;
     auto set_timers(const shared_call& call) -> void;
     auto dispatch_part(const shared_call& call, std::size_t index) -> void;
     auto send_part(const shared_call& call, std::size_t index, const selection& selected,
@@ -113,10 +133,12 @@
     auto finish_query(const shared_call& call, bool timed_out) -> void;
     auto finish_relay(const shared_call& call, bool timed_out) -> void;
     [[nodiscard]] auto merge_answers(call_state& call) const -> relayed_answer;
-    [[nodiscard]] auto failure_answer(const call_state& call, bool timed_out) const
-        -> relayed_answer;
+    [[nodiscard]] auto failure_answer(const call_state& call, bool timed_out) -> relayed_answer;
+    [[nodiscard]] auto end_of(const call_state& call, const relayed_answer& answer) const
+        -> request_end;
     auto finish_call(const shared_call& call, relayed_answer answer) -> void;
-    auto release_call(call_state& call, bool immediately) -> void;
+    auto release_call(const shared_call& call, request_end end, bool immediately) -> void;
+    auto release_admission(const call_state& call, request_end end, bool admitted) -> void;
 
     relay_policy policy_;
     header_names names_;
@@ -130,11 +152,15 @@
     target_selector selector_;
     route_latency route_latency_;
     weighted_split split_;
+    service_capacity capacity_;
+    relay_admission admission_;
     request_log log_;
     relay_metrics metrics_;
     std::unordered_map<call_id, shared_call> calls_;
     std::set<std::tuple<int, time_point, call_id, std::size_t>> waiting_;
+    time_point created_at_;
     call_id next_call_ = 1;
+    bool admitting_ = false; ///< Whether `admit_waiting` is running.
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/relay_policy.hpp
+++ b/include/knapweedchute/relay/relay_policy.hpp
@@ -26,8 +26,9 @@
     double zone_cost = 0.15;
     /// Random variation of costs, so that instances with equal state select different targets.
     double cost_spread = 0.1;
-    /// Value of `Retry-After` when no target accepts a request.
-    duration retry_after = milliseconds{250};
+    /// Whether requests above the capacity of the targets wait or are rejected before any part is
+    /// sent.
+    bool limit_concurrency = true;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/request_log.hpp
+++ b/include/knapweedchute/relay/request_log.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace knapweedchute {
 
@@ -14,6 +15,7 @@
 {
     failed,  ///< It ended with a status of 500 or more.
     partial, ///< Shards are missing from its answer.
+    rejected, ///< It was rejected before any part was sent.
     late,    ///< It was answered after the route's latency goal.
     sampled, ///< It succeeded and belongs to the sample.
     none     ///< It is not logged.
@@ -33,12 +35,20 @@
     /// \brief Logs a request that ended at `now`, if it has a reason and the limit allows.
     auto on_end(const impl::relay_call& call, unsigned status, time_point now) -> void;
 
+    /// \brief Logs a request that was rejected before any part was sent, if the limit allows.
+    /// \param reason      Reason that the caller is told.
+    /// \param verdict     Decision and its inputs; a default one if it was not decided by load.
+    /// \param retry_after Time after which the caller is told to return.
+    auto on_reject(const impl::relay_call& call, std::string_view reason,
+                   const admission_verdict& verdict, duration retry_after, time_point now) -> void;
+
     /// \brief Returns why a request that ended at `now` is logged.
     [[nodiscard]] static auto reason_of(const impl::relay_call& call, unsigned status,
                                         time_point now) -> log_reason;
 
 private:
     auto log_held_back(time_point now) -> void;
+    [[nodiscard]] auto take_lines(log_reason reason, std::size_t lines, time_point now) -> bool;
 
     counter_set* counters_;
     line_budget budget_{lines_per_second, burst_lines};
--- a/src/core/counter.cpp
+++ b/src/core/counter.cpp
@@ -11,6 +11,7 @@
     {counter::queries_refused, "queries_refused"},
     {counter::queries_restarted, "queries_restarted"},
     {counter::queries_shed, "queries_shed"},
+    {counter::queries_waited, "queries_waited"},
     {counter::parts_sent, "parts_sent"},
     {counter::parts_hedged, "parts_hedged"},
     {counter::parts_retried, "parts_retried"},
--- a/src/query/admission_control.cpp
+++ b/src/query/admission_control.cpp
@@ -13,6 +13,9 @@
 /// The share is adjusted by a factor, so it cannot recover from zero.
 constexpr auto min_share = 0.02;
 constexpr auto rate_smoothing_weight = 0.3;
+/// Fewer queries in progress are no overload: after a quiet time or a stall of the process the
+/// completion rate is low without one.
+constexpr auto min_shed_in_progress = std::size_t{8};
 
 } // namespace
 
@@ -33,6 +36,9 @@
     if (in_progress >= max_in_progress_) {
         return false;
     }
+    if (in_progress < min_shed_in_progress) {
+        return true;
+    }
     const auto above = share_above(answer_value);
     const auto equal = share_equal(answer_value);
     if (above + equal <= accepted_share_) {
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -1,4 +1,3 @@
-#include <knapweedchute/relay/refusal_answer.hpp>
 #include <knapweedchute/relay/relay_coordinator.hpp>
 #include <knapweedchute/relay/request_encoder.hpp>
 
@@ -11,18 +10,12 @@
 
 namespace {
 
-constexpr auto status_not_found = 404U;
 constexpr auto status_server_error = 500U;
 constexpr auto status_success = 200U;
 constexpr auto status_redirect = 300U;
 /// Multiple of a route's typical latency above which a request counts as slow for its version.
 constexpr auto slow_multiple = 3;
 
-auto path_of(const std::string& target) -> std::string_view
-{
-    return std::string_view{target}.substr(0, target.find('?'));
-}
-
 /// Whether a status gives no evidence of whether the target works correctly.
 auto is_inconclusive(exchange_status status) -> bool
 {
@@ -48,72 +41,9 @@
                                                    dependencies.port,
                                                    dependencies.cold,
                                                    seed},
-      log_{dependencies.counters}
-{
-}
-
-auto relay_coordinator::start(std::shared_ptr<const route_table> table, relayed_request request,
-                              responder respond) -> call_id
-{
-    counters_->add(counter::queries_received);
-    const auto* matched = table ? table->find(request.host, path_of(request.target)) : nullptr;
-    if (matched == nullptr) {
-        counters_->add(counter::queries_refused);
-        respond(table ? error_answer(status_not_found, "no route")
-                      : not_run_answer("no configuration yet", policy_.retry_after));
-        return 0;
-    }
-    auto call = std::make_shared<call_state>();
-    call->id = next_call_++;
-    call->matched_route = matched;
-    call->table = std::move(table);
-    call->request = std::move(request);
-    call->respond = std::move(respond);
-    call->started = timers_->now();
-    const auto requested_timeout = call->request.deadline.value_or(matched->timeout);
-    call->deadline =
-        call->started + std::min(requested_timeout, matched->timeout) - policy_.answer_margin;
-    const auto services = matched->is_query()
-                              ? matched->shards
-                              : std::vector<std::string>{split_.next_service(*matched)};
-    for (const auto& service : services) {
-        call->parts.emplace_back().service = service;
-        extras_->on_request(service, call->started);
-    }
-    calls_.emplace(call->id, call);
-    set_timers(call);
-    for (auto index = std::size_t{0}; index < call->parts.size(); ++index) {
-        dispatch_part(call, index);
-    }
-    finish_if_done(call);
-    return call->ended ? 0 : call->id;
-}
-
-auto relay_coordinator::cancel(call_id id) -> void
+      capacity_{dependencies.registry}, admission_{seed}, log_{dependencies.counters},
+      created_at_{dependencies.timers.now()}
 {
-    const auto found = calls_.find(id);
-    if (found == calls_.end()) {
-        return;
-    }
-    const auto call = found->second;
-    call->ended = true;
-    counters_->add(counter::callers_left);
-    release_call(*call, true);
-}
-
-auto relay_coordinator::fail_all() -> void
-{
-    auto open_calls = std::vector<shared_call>{};
-    for (const auto& [id, call] : calls_) {
-        open_calls.push_back(call);
-    }
-    for (const auto& call : open_calls) {
-        if (call->matched_route->is_query()) {
-            finish_query(call, false);
-        } else {
-            finish_relay(call, false);
-        }
-    }
 }
 
 auto relay_coordinator::retry_waiting() -> void
@@ -126,7 +56,7 @@
         }
         const auto call = found->second;
         call->parts[index].waiting = false;
-        if (!call->ended && !call->parts[index].done()) {
+        if (!call->ended() && !call->parts[index].done()) {
             dispatch_part(call, index);
             finish_if_done(call);
         }
@@ -137,26 +67,12 @@
     -> timer_id
 {
     return timers_->at(when, [this, weak = std::weak_ptr{call}, handler] {
-        if (const auto locked_call = weak.lock(); locked_call && !locked_call->ended) {
+        if (const auto locked_call = weak.lock(); locked_call && !locked_call->ended()) {
             (this->*handler)(locked_call);
         }
     });
 }
 
-auto relay_coordinator::set_timers(const shared_call& call) -> void
-{
-    call->deadline_timer = schedule(call, call->deadline, &relay_coordinator::on_deadline);
-    if (call->matched_route->idempotent) {
-        call->straggler_timer =
-            schedule(call, call->started + route_latency_.straggler_threshold(*call->matched_route),
-                     &relay_coordinator::hedge_stragglers);
-    }
-    const auto goal = call->started + call->matched_route->latency_goal - policy_.goal_margin;
-    if (call->matched_route->is_query() && goal < call->deadline) {
-        call->goal_timer = schedule(call, goal, &relay_coordinator::on_goal);
-    }
-}
-
 auto relay_coordinator::dispatch_part(const shared_call& call, std::size_t index) -> void
 {
     auto& part = call->parts[index];
@@ -235,7 +151,7 @@
     const auto elapsed = now - sent_at;
     const auto useful = is_useful(result);
     const auto typical_latency = route_latency_.typical(*call.matched_route);
-    const auto cancelled = call.ended && result.status == exchange_status::unknown;
+    const auto cancelled = call.ended() && result.status == exchange_status::unknown;
     const auto stale_connection =
         result.status == exchange_status::broken && result.reused_connection;
     const auto failed = !useful && !cancelled && !stale_connection;
@@ -269,9 +185,11 @@
         part.steps.push_back({timers_->now() - call->started, trace_step::end, target, 0.0, 0,
                               result.status, result.answer.status});
     }
-    if (!call->ended && !part.done()) {
+    if (!call->ended() && !part.done()) {
         part.last_status = result.status;
         part.may_have_run = part.may_have_run || !provably_not_run(result.status);
+        part.rejected = part.rejected ||
+                        (result.status == exchange_status::not_run && !result.never_sent);
         if (useful) {
             part.answer = std::move(result.answer);
             for (const auto& [other, since] : part.open_exchanges) {
@@ -376,32 +294,4 @@
     }
 }
 
-auto relay_coordinator::release_call(call_state& call, bool immediately) -> void
-{
-    for (const auto timer : {call.straggler_timer, call.goal_timer, call.deadline_timer}) {
-        timers_->cancel(timer);
-    }
-    auto open_exchanges = std::vector<exchange_id>{};
-    for (auto index = std::size_t{0}; index < call.parts.size(); ++index) {
-        for (const auto& [exchange, sent] : call.parts[index].open_exchanges) {
-            open_exchanges.push_back(exchange);
-        }
-        if (call.parts[index].waiting) {
-            waiting_.erase({call.matched_route->priority, call.deadline, call.id, index});
-        }
-    }
-    counters_->add(counter::parts_cancelled, open_exchanges.size());
-    calls_.erase(call.id);
-    const auto cancel_exchanges = [port = port_, open_exchanges] {
-        for (const auto exchange : open_exchanges) {
-            port->cancel(exchange);
-        }
-    };
-    if (immediately) {
-        cancel_exchanges();
-    } else if (!open_exchanges.empty()) {
-        timers_->at(timers_->now() + policy_.cancel_delay, cancel_exchanges);
-    }
-}
-
 } // namespace knapweedchute
--- a/src/relay/relay_finish.cpp
+++ b/src/relay/relay_finish.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr auto status_success = 200U;
+constexpr auto status_server_error = 500U;
 /// Coverage that meets the minimum exactly must not fail because of rounding.
 constexpr auto rounding_tolerance = 1e-9;
 
@@ -17,7 +18,7 @@
 
 auto relay_coordinator::finish_if_done(const shared_call& call) -> void
 {
-    if (call->ended) {
+    if (call->ended()) {
         return;
     }
     const auto count = [&](auto test) {
@@ -93,8 +94,7 @@
             merge_records(bodies, call.matched_route->top)};
 }
 
-auto relay_coordinator::failure_answer(const call_state& call, bool timed_out) const
-    -> relayed_answer
+auto relay_coordinator::failure_answer(const call_state& call, bool timed_out) -> relayed_answer
 {
     constexpr auto bad_gateway = 502U;
     constexpr auto gateway_timeout = 504U;
@@ -104,19 +104,33 @@
         });
     counters_->add(counter::queries_refused);
     if (!may_have_run) {
-        return not_run_answer("no target can take the request", policy_.retry_after);
+        return not_run_answer("no target can take the request",
+                              admission_.retry_after(call.admission, timers_->now()));
     }
     return timed_out ? error_answer(gateway_timeout, "not answered in time")
                      : error_answer(bad_gateway, "targets failed");
 }
 
+auto relay_coordinator::end_of(const call_state& call, const relayed_answer& answer) const
+    -> request_end
+{
+    const auto now = timers_->now();
+    if (answer.status < status_server_error) {
+        const auto late = now - call.started > call.matched_route->latency_goal;
+        return late ? request_end::overloaded : request_end::in_time;
+    }
+    const auto rejected = std::any_of(call.parts.begin(), call.parts.end(),
+                                      [](const part_state& part) { return part.rejected; });
+    return rejected || now >= call.deadline ? request_end::overloaded : request_end::no_evidence;
+}
+
 auto relay_coordinator::finish_call(const shared_call& call, relayed_answer answer) -> void
 {
-    call->ended = true;
     log_.on_end(*call, answer.status, timers_->now());
     metrics_.on_request(*call, answer.status, timers_->now());
-    release_call(*call, false);
     const auto respond = std::move(call->respond);
+    const auto end = end_of(*call, answer);
+    release_call(call, end, false);
     respond(std::move(answer));
 }
 
--- a/src/relay/request_log.cpp
+++ b/src/relay/request_log.cpp
@@ -31,8 +31,9 @@
     double reserve; ///< Fraction of the burst reserved for more important reasons.
 };
 
-constexpr auto reasons = std::array{reason_text{"failed", 0.0}, reason_text{"partial", 0.3},
-                                    reason_text{"late", 0.5}, reason_text{"sampled", 0.7}};
+constexpr auto reasons =
+    std::array{reason_text{"failed", 0.0}, reason_text{"partial", 0.3},
+               reason_text{"rejected", 0.4}, reason_text{"late", 0.5}, reason_text{"sampled", 0.7}};
 
 auto milliseconds_of(duration time) -> std::string
 {
@@ -92,6 +93,9 @@
 
 auto request_log::reason_of(const relay_call& call, unsigned status, time_point now) -> log_reason
 {
+    if (call.shed) {
+        return log_reason::rejected;
+    }
     if (status >= status_server_error) {
         return log_reason::failed;
     }
@@ -110,7 +114,8 @@
 auto request_log::on_end(const relay_call& call, unsigned status, time_point now) -> void
 {
     const auto reason = reason_of(call, status, now);
-    if (reason == log_reason::none) {
+    // A rejected request has a line of its own, by `on_reject`.
+    if (reason == log_reason::none || reason == log_reason::rejected) {
         return;
     }
     log_held_back(now);
@@ -120,19 +125,48 @@
             troubled_parts.push_back(&part);
         }
     }
-    const auto& [name, reserve] = reasons.at(static_cast<std::size_t>(reason));
-    const auto lines = static_cast<double>(1 + troubled_parts.size());
-    if (!budget_.take(lines, reserve, now)) {
-        held_back_ += 1 + troubled_parts.size();
-        counters_->add(counter::log_lines_held_back, 1 + troubled_parts.size());
+    if (!take_lines(reason, 1 + troubled_parts.size(), now)) {
         return;
     }
+    const auto& name = reasons.at(static_cast<std::size_t>(reason)).name;
     log_request(call, name, status, now);
     for (const auto* part : troubled_parts) {
         log_part(call, *part);
     }
 }
 
+auto request_log::on_reject(const relay_call& call, std::string_view reason,
+                            const admission_verdict& verdict, duration retry_after, time_point now)
+    -> void
+{
+    log_held_back(now);
+    if (!take_lines(log_reason::rejected, 1, now)) {
+        return;
+    }
+    log_line.info("Request rejected.",
+                  {{"request", call.request.id},
+                   {"why", std::string{reason}},
+                   {"route", call.matched_route->name},
+                   {"after_ms", milliseconds_of(now - call.started)},
+                   {"expected_wait_ms", milliseconds_of(verdict.expected_wait)},
+                   {"max_wait_ms", milliseconds_of(verdict.max_wait)},
+                   {"limit", std::to_string(verdict.limit)},
+                   {"in_progress", std::to_string(verdict.in_progress)},
+                   {"waiting", std::to_string(verdict.waiting)},
+                   {"retry_after_ms", milliseconds_of(retry_after)}});
+}
+
+auto request_log::take_lines(log_reason reason, std::size_t lines, time_point now) -> bool
+{
+    const auto reserve = reasons.at(static_cast<std::size_t>(reason)).reserve;
+    if (budget_.take(static_cast<double>(lines), reserve, now)) {
+        return true;
+    }
+    held_back_ += lines;
+    counters_->add(counter::log_lines_held_back, lines);
+    return false;
+}
+
 auto request_log::log_held_back(time_point now) -> void
 {
     if (held_back_ == 0 || now - held_back_logged_at_ < held_back_interval) {
--- a/tests/support/manual_timer_queue.hpp
+++ b/tests/support/manual_timer_queue.hpp
@@ -3,6 +3,7 @@
 #include <knapweedchute/relay/timer_queue.hpp>
 
 #include <map>
+#include <unordered_map>
 #include <utility>
 
 namespace knapweedchute::test {
@@ -18,13 +19,17 @@
     auto at(time_point when, std::function<void()> work) -> timer_id override
     {
         const auto id = next_++;
-        queue_.emplace(std::pair{std::max(when, now_), id}, std::move(work));
+        const auto due = std::max(when, now_);
+        due_.emplace(id, due);
+        queue_.emplace(std::pair{due, id}, std::move(work));
         return id;
     }
 
     auto cancel(timer_id timer) -> void override
     {
-        std::erase_if(queue_, [&](const auto& item) { return item.first.second == timer; });
+        if (const auto node = due_.extract(timer); !node.empty()) {
+            queue_.erase({node.mapped(), timer});
+        }
     }
 
     /// \brief Moves the time, running what becomes due in order.
@@ -33,6 +38,7 @@
         const auto end = now_ + time;
         while (!queue_.empty() && queue_.begin()->first.first <= end) {
             auto node = queue_.extract(queue_.begin());
+            due_.erase(node.key().second);
             now_ = node.key().first;
             node.mapped()();
         }
@@ -41,6 +47,7 @@
 
 private:
     std::map<std::pair<time_point, timer_id>, std::function<void()>> queue_;
+    std::unordered_map<timer_id, time_point> due_;
     mutable time_point now_{seconds{1'000}};
     timer_id next_ = 1;
 };
