Answers without end and late copies of answers end the connection

Cause: a target's answer was bounded only by its body limit. Interim answers, chunk extensions, trailers and answers to other requests could go on without end; and a header that exceeds the body limit, read together with the first bytes of the body, made the HTTP library reserve the stated length: 'Content-Length:' ended the process with bad_alloc. An answer without a request id was taken for the next request's on a reused connection. Change: bytes of an answer, unparsed bytes and interim answers are limited, the parser no longer goes on past a limit, and a connection is reused only if its answer could not be mistaken for a later one. A listener that stops serves the connections already accepted, and counts the sessions that are not idle. Measured: the new cases of target_connection_test; the one of the stated length aborted the test program before.

--- a/include/knapweedchute/net/caller_listener.hpp
+++ b/include/knapweedchute/net/caller_listener.hpp
@@ -26,10 +26,17 @@
     auto close_after_answers() -> void;
 
     /// \brief Stops accepting connections and closes those without a request in progress.
+    /// \detail Connections that the system has already accepted for this process are served: their
+    ///         callers may have sent a request.
     auto close_idle() -> void;
 
+    /// \brief Number of connections with a request partly read, in progress or being answered.
+    [[nodiscard]] auto active_sessions() const -> std::size_t;
+
 private:
     auto accept() -> void;
+    auto accept_pending() -> void;
+    auto start_session(boost::asio::ip::tcp::socket socket) -> void;
     auto remove_ended_sessions() -> void;
 
     boost::asio::io_context* loop_;
--- a/include/knapweedchute/net/caller_session.hpp
+++ b/include/knapweedchute/net/caller_session.hpp
@@ -35,6 +35,12 @@
     /// \brief Closes the connection after the next answer.
     auto close_after_answer() -> void { closing_ = true; }
 
+    /// \brief Whether a request is partly read, in progress or being answered.
+    [[nodiscard]] auto active() const noexcept -> bool
+    {
+        return stage_ != stage::idle && stage_ != stage::closed;
+    }
+
     /// \brief Closes the connection if no request is in progress or partly read.
     auto close_if_idle() -> void;
 
--- a/include/knapweedchute/net/target_connection.hpp
+++ b/include/knapweedchute/net/target_connection.hpp
@@ -17,8 +17,10 @@
 
 /// \brief Connection to a target that carries one request at a time.
 ///
-/// \detail Closes when bytes arrive that belong to no request, or when an answer arrives before its
-///         request was sent completely. A closed connection is never reused.
+/// \detail Closes when bytes arrive that belong to no request, when an answer arrives before its
+///         request was sent completely, or when it exceeds the limits of its order: a faulty target
+///         may send without end. A closed connection is never reused, nor is one whose answer could
+///         be a late copy of an earlier one.
 class target_connection : public std::enable_shared_from_this<target_connection>
 {
 public:
@@ -55,6 +57,8 @@
     auto parse() -> void;
     auto on_end_of_stream(bool clean) -> void;
     auto on_answer() -> void;
+    [[nodiscard]] auto exceeds_limits() const -> bool;
+    [[nodiscard]] auto is_attributable(bool has_id) const -> bool;
     auto read_idle_limit() -> void;
     auto finish(exchange_result result) -> void;
     auto reset_parser() -> void;
@@ -70,6 +74,8 @@
     time_point idle_since_;
     std::optional<seconds> idle_limit_;
     std::size_t finished_exchanges_ = 0;
+    std::size_t received_bytes_ = 0;  ///< Bytes since the request in progress was sent.
+    std::size_t interim_answers_ = 0; ///< Interim answers to the request in progress.
     bool connected_ = false;
     bool written_ = false;
     bool closed_ = false;
--- a/include/knapweedchute/relay/exchange_port.hpp
+++ b/include/knapweedchute/relay/exchange_port.hpp
@@ -21,6 +21,8 @@
     std::string request_id;                      ///< Request id that the answer must repeat.
     bool body_expected = true;                   ///< False for methods whose answer has no body.
     bool repeatable = true;                      ///< False: avoids connections that may be stale.
+    bool answers_have_ids = true;                ///< Whether answers repeat the request id.
+    std::size_t max_answer_bytes = 4 << 20;      ///< Maximum bytes of an answer, as received.
 };
 
 /// \brief Interface that sends requests to targets: over the network or, in tests, by a fake.
--- a/src/net/call_client.cpp
+++ b/src/net/call_client.cpp
@@ -9,6 +9,8 @@
 
 /// Matches no header: answers to this client carry no request id and no other special header.
 constexpr auto no_header = "-";
+/// A page of the store or of a peer, with its values encoded as text.
+constexpr auto max_answer_bytes = std::size_t{16} * 1'024 * 1'024;
 
 } // namespace
 
@@ -77,6 +79,8 @@
         }
     };
     auto order = exchange_order{nullptr, std::move(current.text), {}, true, true};
+    order.answers_have_ids = false;
+    order.max_answer_bytes = max_answer_bytes;
     if (reuse) {
         connection_->exchange(std::move(order), std::move(ended));
     } else {
--- a/src/net/caller_listener.cpp
+++ b/src/net/caller_listener.cpp
@@ -54,18 +54,35 @@
             timers_->at(timers_->now() + accept_pause, [this] { accept(); });
             return;
         }
-        const auto session =
-            std::make_shared<caller_session>(std::move(socket), *handler_, *timers_, *names_);
-        sessions_.push_back(session);
-        remove_ended_sessions();
-        if (closing_) {
-            session->close_after_answer();
-        }
-        session->start();
+        start_session(std::move(socket));
         accept();
     });
 }
 
+auto caller_listener::start_session(tcp::socket socket) -> void
+{
+    const auto session =
+        std::make_shared<caller_session>(std::move(socket), *handler_, *timers_, *names_);
+    sessions_.push_back(session);
+    remove_ended_sessions();
+    if (closing_) {
+        session->close_after_answer();
+    }
+    session->start();
+}
+
+auto caller_listener::accept_pending() -> void
+{
+    auto failure = boost::system::error_code{};
+    acceptor_.non_blocking(true, failure);
+    while (!failure) {
+        auto socket = acceptor_.accept(*loop_, failure);
+        if (!failure) {
+            start_session(std::move(socket));
+        }
+    }
+}
+
 auto caller_listener::remove_ended_sessions() -> void
 {
     if (sessions_.size() % cleanup_interval == 0) {
@@ -86,8 +103,13 @@
 auto caller_listener::close_idle() -> void
 {
     closing_ = true;
-    auto ignored = boost::system::error_code{};
-    acceptor_.close(ignored);
+    if (acceptor_.is_open()) {
+        accept_pending();
+        auto ignored = boost::system::error_code{};
+        acceptor_.close(ignored);
+        // The sessions accepted last get one turn of the loop to read what has arrived.
+        return;
+    }
     for (const auto& session : sessions_) {
         if (const auto alive = session.lock()) {
             alive->close_if_idle();
@@ -95,4 +117,13 @@
     }
 }
 
+auto caller_listener::active_sessions() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) {
+            const auto alive = session.lock();
+            return alive && alive->active();
+        }));
+}
+
 } // namespace knapweedchute
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -56,7 +56,8 @@
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
     parser_->body_limit(limits_.body_bytes);
-    parser_->eager(true);
+    // An eager parser goes on to the body although the header has exceeded the body limit.
+    parser_->eager(false);
 }
 
 auto caller_session::read() -> void
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -13,8 +13,10 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-/// Well above the largest documented body.
-constexpr auto max_answer_bytes = std::uint64_t{16} * 1'024 * 1'024;
+/// Maximum bytes of one header, chunk header or trailer, which the parser needs as a whole.
+constexpr auto max_unparsed_bytes = std::size_t{16} * 1'024;
+/// Maximum interim answers to one request.
+constexpr auto max_interim_answers = std::size_t{8};
 constexpr auto status_wrong_target = 421U;
 constexpr auto first_final_status = 200U;
 
@@ -58,14 +60,17 @@
     order_ = std::move(order);
     done_ = std::move(done);
     written_ = false;
+    received_bytes_ = 0;
+    interim_answers_ = 0;
     reset_parser();
 }
 
 auto target_connection::reset_parser() -> void
 {
     parser_.emplace();
-    parser_->body_limit(max_answer_bytes);
-    parser_->eager(true);
+    parser_->body_limit(order_.max_answer_bytes);
+    // An eager parser goes on to the body although the header has exceeded the body limit.
+    parser_->eager(false);
     parser_->skip(!order_.body_expected);
 }
 
@@ -105,12 +110,22 @@
     const auto space = input_.prepare(count);
     boost::asio::buffer_copy(space, boost::asio::buffer(chunk_, count));
     input_.commit(count);
+    received_bytes_ += count;
     parse();
+    if (!closed_ && done_ && exceeds_limits()) {
+        close(exchange_status::broken);
+    }
     if (!closed_) {
         read();
     }
 }
 
+auto target_connection::exceeds_limits() const -> bool
+{
+    return received_bytes_ > order_.max_answer_bytes || input_.size() > max_unparsed_bytes ||
+           interim_answers_ > max_interim_answers;
+}
+
 auto target_connection::parse() -> void
 {
     while (!closed_ && done_ && input_.size() > 0) {
@@ -150,17 +165,24 @@
     auto message = parser_->release();
     const auto status = message.result_int();
     if (status < first_final_status) {
+        interim_answers_ += 1;
         reset_parser();
         return;
     }
     const auto answer_request_id = message.find(names_->request_id);
-    if (answer_request_id != message.end() && !order_.request_id.empty() &&
-        answer_request_id->value() != order_.request_id) {
+    const auto has_id = answer_request_id != message.end();
+    if (has_id && !order_.request_id.empty() && answer_request_id->value() != order_.request_id) {
         // Skips an answer to another request; the expected answer may still follow.
         reusable_ = false;
         reset_parser();
         return;
     }
+    if (!is_attributable(has_id)) {
+        close(exchange_status::broken);
+        return;
+    }
+    // A late copy of an answer without an id could not be told from the next answer.
+    reusable_ = reusable_ && (has_id || !order_.answers_have_ids);
     reusable_ = reusable_ && message.keep_alive() && written_ && input_.size() == 0;
     auto result = exchange_result{};
     result.status = exchange_status::answered;
@@ -174,6 +196,11 @@
     finish(std::move(result));
 }
 
+auto target_connection::is_attributable(bool has_id) const -> bool
+{
+    return has_id || finished_exchanges_ == 0 || !order_.answers_have_ids;
+}
+
 auto target_connection::read_idle_limit() -> void
 {
     const auto field = parser_->get().find(http::field::keep_alive);
--- a/tests/unit/net/target_connection_test.cpp
+++ b/tests/unit/net/target_connection_test.cpp
@@ -5,6 +5,11 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
 using namespace knapweedchute;
 using namespace knapweedchute::test;
 
@@ -52,6 +57,96 @@
         return *result;
     }
 
+    /// Sends one request to a target that answers with `prefix` and then repeats `more` until the
+    /// connection closes; returns the bytes that it could send.
+    auto send_to_endless_target(const std::string& prefix, const std::string& more) -> std::size_t
+    {
+        auto acceptor = boost::asio::ip::tcp::acceptor{
+            loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+        auto sent = std::size_t{0};
+        auto target = std::thread{[&] {
+            auto other = boost::asio::io_context{};
+            auto socket = acceptor.accept(other);
+            auto failure = boost::system::error_code{};
+            auto block = std::string{};
+            while (block.size() < 4'096) {
+                block += more;
+            }
+            sent += boost::asio::write(socket, boost::asio::buffer(prefix), failure);
+            while (!failure) {
+                sent += boost::asio::write(socket, boost::asio::buffer(block), failure);
+            }
+        }};
+        connection = std::make_shared<target_connection>(loop, names, [](const auto& /*idle*/) {});
+        auto order = exchange_order{nullptr, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "r1", true, true};
+        order.max_answer_bytes = endless_limit;
+        connection->open({loopback_ip, acceptor.local_endpoint().port()}, std::move(order),
+                         [this](auto ended) {
+                             result = std::move(ended);
+                             loop.stop();
+                         });
+        loop.run_for(seconds{10});
+        was_closed = connection->closed();
+        connection->close();
+        target.join();
+        BOOST_REQUIRE(result.has_value());
+        return sent;
+    }
+
+    /// Sends requests one after the other on one connection; the target answers each with the text
+    /// at its index.
+    auto send_requests(const std::vector<std::string>& answers) -> std::vector<exchange_result>
+    {
+        auto acceptor = boost::asio::ip::tcp::acceptor{
+            loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+        auto target = std::thread{[&] {
+            auto other = boost::asio::io_context{};
+            auto socket = acceptor.accept(other);
+            auto failure = boost::system::error_code{};
+            auto request = std::string{};
+            for (const auto& answer : answers) {
+                const auto length = boost::asio::read_until(
+                    socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", failure);
+                request.erase(0, length);
+                if (!failure) {
+                    boost::asio::write(socket, boost::asio::buffer(answer), failure);
+                }
+            }
+            boost::asio::read(socket, boost::asio::dynamic_buffer(request), failure);
+        }};
+        connection = std::make_shared<target_connection>(loop, names, [](const auto& /*idle*/) {});
+        auto results = std::vector<exchange_result>{};
+        for (auto index = std::size_t{0}; index < answers.size() && !connection->closed();
+             ++index) {
+            const auto id = "r" + std::to_string(index + 1);
+            auto order =
+                exchange_order{nullptr, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", id, true, true};
+            const auto done = [&](auto ended) {
+                results.push_back(std::move(ended));
+                loop.stop();
+            };
+            if (index == 0) {
+                connection->open({loopback_ip, acceptor.local_endpoint().port()}, std::move(order),
+                                 done);
+            } else {
+                connection->exchange(std::move(order), done);
+            }
+            loop.restart();
+            loop.run_for(seconds{1});
+            loop.restart();
+            loop.run_for(milliseconds{50});
+        }
+        was_closed = connection->closed();
+        connection->close();
+        target.join();
+        return results;
+    }
+
+    /// Limit of the answers of an endless target.
+    static constexpr auto endless_limit = std::size_t{256} * 1'024;
+    /// What the buffers of both sockets hold beyond the bytes that were read.
+    static constexpr auto socket_buffers = std::size_t{16} * 1'024 * 1'024;
+
     bool was_closed = false;
 };
 
@@ -137,4 +232,77 @@
     BOOST_TEST(result->never_sent);
 }
 
+BOOST_AUTO_TEST_CASE(answer_without_end_is_broken_and_the_connection_closes)
+{
+    struct endless_answer
+    {
+        std::string name;
+        std::string prefix;
+        std::string more;
+    };
+    const auto head = std::string{"HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n"};
+    const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto answers = std::vector<endless_answer>{
+        {"header line", head + "Name: ", "x"},
+        {"header fields", head, "Name: x\r\n"},
+        {"status line", "HTTP/1.1 200 ", "x"},
+        {"no protocol", "", "x"},
+        {"line ends", "", "\r\n"},
+        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"answers to others", "", "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 0\r\n\r\n"},
+        {"tiny chunks", chunked, "1\r\nx\r\n"},
+        {"chunk extension", chunked + "1;", "name=value;"},
+        {"chunk size", chunked, "0"},
+        {"trailers", chunked + "0\r\n", "Name: x\r\n"},
+        {"body without length", head + "\r\n", "x"},
+        {"body over the limit", head + "Content-Length: 99999999999\r\n\r\nx", "x"}};
+    for (const auto& [name, prefix, more] : answers) {
+        result.reset();
+        loop.restart();
+        const auto begun = steady_clock::now();
+        const auto sent = send_to_endless_target(prefix, more);
+        BOOST_TEST((result->status == exchange_status::broken), name);
+        BOOST_TEST(was_closed, name);
+        BOOST_TEST(sent <= endless_limit + socket_buffers, name << " took " << sent << " bytes");
+        BOOST_TEST((steady_clock::now() - begun < seconds{5}), name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answer_followed_by_bytes_without_end_is_complete_and_the_connection_closes)
+{
+    send_to_endless_target("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nab", "x");
+    BOOST_TEST((result->status == exchange_status::answered));
+    BOOST_TEST(result->answer.body == "ab");
+    BOOST_TEST(was_closed);
+}
+
+BOOST_AUTO_TEST_CASE(second_copy_of_an_answer_never_answers_the_next_request)
+{
+    const auto answer = [](const std::string& id, const std::string& body) {
+        return "HTTP/1.1 200 OK\r\n" + (id.empty() ? "" : "Id: " + id + "\r\n") +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    // The copy comes in the same read as the first answer.
+    auto results = send_requests({answer("r1", "one") + answer("r1", "one"), answer("r2", "two")});
+    BOOST_TEST(results.size() == 1U);
+    BOOST_TEST(was_closed);
+    // The copy comes late, before the answer to the next request, of the same length.
+    results = send_requests({answer("r1", "one"), answer("r1", "one") + answer("r2", "two")});
+    BOOST_REQUIRE(results.size() == 2U);
+    BOOST_TEST(results.back().answer.body == "two");
+    BOOST_TEST(was_closed);
+    // The copy comes late and nothing follows it.
+    results = send_requests({answer("r1", "one"), answer("r1", "one")});
+    BOOST_REQUIRE(results.size() <= 2U);
+    BOOST_TEST((results.size() == 1U || results.back().status != exchange_status::answered));
+    // The copies bear no id at all: the connection is not used again.
+    results = send_requests({answer("", "one"), answer("", "one")});
+    BOOST_TEST(results.size() == 1U);
+    BOOST_TEST(was_closed);
+    // An answer without an id on a connection that was in use could be anybody's.
+    results = send_requests({answer("r1", "one"), answer("", "one")});
+    BOOST_REQUIRE(results.size() == 2U);
+    BOOST_TEST((results.back().status == exchange_status::broken));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
