Addresses name instances near the targets, fewer store readers, stops and pauses

Three readers per zone called the store. A stop ended while a request was partly read or an answer being written. A paused process used its share of a cold target as of before the pause. Change: query_zones and address_selector name instances in the zones of most targets; the limits shared by instances are divided by limit_fraction. A stop waits for sessions that are not idle. renewed_knowledge is checked when the permission is used.

--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -12,6 +12,7 @@
 #include <knapweedchute/feed/peer_feed_source.hpp>
 #include <knapweedchute/membership/address_selector.hpp>
 #include <knapweedchute/membership/ownership.hpp>
+#include <knapweedchute/membership/renewed_knowledge.hpp>
 #include <knapweedchute/net/asio_timer_queue.hpp>
 #include <knapweedchute/net/caller_listener.hpp>
 #include <knapweedchute/net/connection_pool.hpp>
@@ -24,6 +25,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -82,7 +84,7 @@
     auto record_loop_lag(time_point due) -> void;
     auto finish_stop(time_point deadline) -> void;
     [[nodiscard]] auto peer_feed(const member& peer) -> feed_source&;
-    [[nodiscard]] auto sharing_instances() const -> std::size_t;
+    [[nodiscard]] auto limit_share() const -> double;
     [[nodiscard]] auto connection_share(const target_record& target) const -> std::size_t;
     [[nodiscard]] auto cold_share(const target_record& target) const -> std::optional<double>;
     [[nodiscard]] auto answer_readiness() const -> relayed_answer;
@@ -117,12 +119,16 @@
     std::map<address, std::unique_ptr<peer_feed_source>> peer_feeds_;
     std::optional<feed_subscriber> subscriber_;
     std::size_t instance_count_ = 1;
-    ownership ownership_{{}}; ///< Over all members that have not left, dead ones included.
+    ownership ownership_{{}};          ///< Over all members that have not left, dead ones included.
+    std::set<std::string> near_zones_; ///< Availability zones of most targets of queries.
     std::size_t preferred_count_ = 0;
     bool is_preferred_ = false;
     time_point instances_counted_at_;
     duration recent_max_lag_{0}; ///< Recent maximum lag of the event loop; decays over time.
+    /// Whether the known members are recent enough to divide a limit that must not be exceeded.
+    renewed_knowledge member_knowledge_{milliseconds{1'500}, milliseconds{1'000}};
     bool stopping_ = false;
+    bool finishing_ = false; ///< Whether connections are no longer accepted.
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/feed/feed_source_selector.hpp
+++ b/include/knapweedchute/feed/feed_source_selector.hpp
@@ -18,9 +18,6 @@
 class feed_source_selector
 {
 public:
-    /// \brief Number of instances in each availability zone that read the store.
-    static constexpr auto readers_per_zone = std::size_t{3};
-
     /// \brief Selects the peer to follow.
     /// \param members Known instances, including this instance.
     /// \param self    This instance.
--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -3,6 +3,12 @@
 /// \file
 /// \brief Every public header of the library.
 
+#include <knapweedchute/admission/concurrency_limit.hpp>
+#include <knapweedchute/admission/relay_admission.hpp>
+#include <knapweedchute/admission/request_end.hpp>
+#include <knapweedchute/admission/return_schedule.hpp>
+#include <knapweedchute/admission/service_capacity.hpp>
+#include <knapweedchute/admission/waiting_queue.hpp>
 #include <knapweedchute/config/availability_zone_spec.hpp>
 #include <knapweedchute/config/configuration.hpp>
 #include <knapweedchute/config/configuration_head.hpp>
@@ -19,6 +25,7 @@
 #include <knapweedchute/config/target_spec.hpp>
 #include <knapweedchute/config/version_spec.hpp>
 #include <knapweedchute/core/address.hpp>
+#include <knapweedchute/core/boot_time.hpp>
 #include <knapweedchute/core/counter.hpp>
 #include <knapweedchute/core/counter_set.hpp>
 #include <knapweedchute/core/error.hpp>
@@ -51,6 +58,7 @@
 #include <knapweedchute/feed/feed_subscriber.hpp>
 #include <knapweedchute/feed/peer_feed_source.hpp>
 #include <knapweedchute/membership/address_selector.hpp>
+#include <knapweedchute/membership/limit_fraction.hpp>
 #include <knapweedchute/membership/member.hpp>
 #include <knapweedchute/membership/member_state.hpp>
 #include <knapweedchute/membership/membership.hpp>
@@ -58,6 +66,7 @@
 #include <knapweedchute/membership/outgoing.hpp>
 #include <knapweedchute/membership/ownership.hpp>
 #include <knapweedchute/membership/peer_message.hpp>
+#include <knapweedchute/membership/renewed_knowledge.hpp>
 #include <knapweedchute/membership/store_readers.hpp>
 #include <knapweedchute/net/answer_encoder.hpp>
 #include <knapweedchute/net/asio_timer_queue.hpp>
@@ -159,6 +168,7 @@
 #include <knapweedchute/store/http_key_value_store.hpp>
 #include <knapweedchute/store/key_value_store.hpp>
 #include <knapweedchute/store/stored_value.hpp>
+#include <knapweedchute/target/query_zones.hpp>
 #include <knapweedchute/target/target_record.hpp>
 #include <knapweedchute/target/target_registry.hpp>
 #include <knapweedchute/target/version_rule.hpp>
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -1,12 +1,16 @@
+#include <knapweedchute/core/boot_time.hpp>
 #include <knapweedchute/core/gauge_text.hpp>
 #include <knapweedchute/core/log.hpp>
 #include <knapweedchute/entry/entry_instance.hpp>
+#include <knapweedchute/membership/limit_fraction.hpp>
 #include <knapweedchute/relay/refusal_answer.hpp>
+#include <knapweedchute/target/query_zones.hpp>
 
 #include <nlohmann/json.hpp>
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace knapweedchute {
@@ -29,6 +33,8 @@
 constexpr auto address_retention_lifetimes = 4;
 /// Longer than the interval between two requests to a cold target at the lowest rate.
 constexpr auto cold_state_retention = seconds{60};
+/// Admission state of services without requests is kept this long.
+constexpr auto admission_state_retention = seconds{60};
 constexpr auto stop_poll_interval = milliseconds{20};
 /// The recorded maximum lag of the event loop decays to about a third in this time.
 constexpr auto lag_decay_time = std::chrono::duration<double>(10.0);
@@ -162,8 +168,11 @@
 
 auto entry_instance::finish_stop(time_point deadline) -> void
 {
+    const auto accepting = !std::exchange(finishing_, true);
     caller_listener_.close_idle();
-    if (coordinator_.in_progress() > 0 && timers_.now() < deadline) {
+    const auto busy =
+        accepting || coordinator_.in_progress() > 0 || caller_listener_.active_sessions() > 0;
+    if (busy && timers_.now() < deadline) {
         timers_.at(timers_.now() + stop_poll_interval, [this, deadline] { finish_stop(deadline); });
         return;
     }
@@ -181,6 +190,7 @@
     pool_.sweep([&](const auto& target) { return targets.is_usable(target); });
     coordinator_.retry_waiting();
     coordinator_.remove_unknown();
+    coordinator_.remove_unused_groups(now - admission_state_retention);
     cold_limiter_.remove_before(now - cold_state_retention);
     update_member_counts();
     if (!stopping_ && view_.ready() && peers_.self().state == member_state::joining) {
@@ -212,37 +222,37 @@
         }
     }
     ownership_ = ownership{std::move(names)};
+    member_knowledge_.renew(boot_time());
     const auto serving = static_cast<std::size_t>(std::count_if(
         members.begin(), members.end(), [](const auto& peer) { return peer.serving(); }));
     if (serving >= instance_count_ || now - instances_counted_at_ > instance_count_hold) {
         instance_count_ = serving;
         instances_counted_at_ = now;
     }
-    const auto preferred = address_selector::preferred(members);
+    if (view_.table()) {
+        near_zones_ = query_zones(*view_.table(), view_.targets());
+    }
+    const auto preferred = address_selector::preferred(members, near_zones_);
     preferred_count_ = preferred.size();
     is_preferred_ = std::any_of(preferred.begin(), preferred.end(), [&](const auto& peer) {
         return peer.instance == settings_.instance;
     });
-    extras_.set_instance_count(sharing_instances());
+    const auto sharing = static_cast<std::size_t>(std::lround(1.0 / limit_share()));
+    extras_.set_instance_count(sharing);
+    coordinator_.set_instance_count(sharing);
 }
 
-auto entry_instance::sharing_instances() const -> std::size_t
+auto entry_instance::limit_share() const -> double
 {
-    // Callers are directed to the preferred instances. These divide one half of a limit, and all
-    // other instances divide the other half for the few callers that still use them. If all
-    // instances are preferred or none is, the limit is divided equally among all.
-    if (preferred_count_ == 0 || preferred_count_ >= instance_count_) {
-        return instance_count_;
-    }
-    return 2 * (is_preferred_ ? preferred_count_ : instance_count_ - preferred_count_);
+    return limit_fraction(preferred_count_, instance_count_, is_preferred_);
 }
 
 auto entry_instance::connection_share(const target_record& target) const -> std::size_t
 {
     const auto limit =
         view_.table() ? view_.table()->rules(target.service).connections : std::int64_t{1};
-    const auto divided = static_cast<double>(limit) * divided_fraction;
-    return std::max<std::size_t>(static_cast<std::size_t>(divided) / sharing_instances(), 1);
+    const auto divided = static_cast<double>(limit) * divided_fraction * limit_share();
+    return std::max<std::size_t>(static_cast<std::size_t>(divided), 1);
 }
 
 auto entry_instance::cold_share(const target_record& target) const -> std::optional<double>
@@ -252,6 +262,10 @@
     if (limit <= 0.0) {
         return std::nullopt;
     }
+    // A process that was paused may have lost its share to others meanwhile.
+    if (!member_knowledge_.valid(boot_time())) {
+        return 0.0;
+    }
     return rate_among(ownership_, target.target_address, settings_.instance, limit);
 }
 
--- a/src/feed/feed_source_selector.cpp
+++ b/src/feed/feed_source_selector.cpp
@@ -16,6 +16,7 @@
 auto feed_source_selector::select_peer(const std::vector<member>& members, const member& self,
                                        time_point now) const -> std::optional<member>
 {
+    const auto readers_per_zone = store_readers_per_zone(members);
     if (is_store_reader(members, self, readers_per_zone)) {
         return std::nullopt;
     }
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -1,5 +1,6 @@
 #include <knapweedchute/core/log.hpp>
 #include <knapweedchute/feed/feed_subscriber.hpp>
+#include <knapweedchute/membership/store_readers.hpp>
 
 #include <algorithm>
 #include <tuple>
@@ -17,8 +18,6 @@
 /// Watch timeout after a failure: short, because a call to an unavailable source hangs until its
 /// timeout.
 constexpr auto probe_watch_timeout = milliseconds{100};
-/// With more members than this, some instances follow others in any layout of up to three zones.
-constexpr auto max_members_without_followers = feed_source_selector::readers_per_zone * 3;
 /// Delay between a watch that returned changes and the next one: changes arrive in bursts, each
 /// call is billed, and one call then returns a complete burst.
 constexpr auto batching_delay = milliseconds{300};
@@ -120,8 +119,7 @@
                      [this](const auto& reply) { on_watch(reply); });
         return;
     }
-    const auto some_follow_peers =
-        followed_peer_ || members_().size() > max_members_without_followers;
+    const auto some_follow_peers = followed_peer_ || members_().size() > max_direct_members;
     source.watch(cache_.revision(), some_follow_peers ? shared_watch_timeout : direct_watch_timeout,
                  [this](const auto& reply) { on_watch(reply); });
 }
--- a/src/membership/store_readers.cpp
+++ b/src/membership/store_readers.cpp
@@ -1,8 +1,18 @@
 #include <knapweedchute/membership/store_readers.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 namespace knapweedchute {
+namespace {
+
+/// Readers of each zone in a small fleet.
+constexpr auto small_fleet_readers = std::size_t{3};
+/// Minimum number of readers in a larger fleet, over all its zones.
+constexpr auto min_readers = std::size_t{4};
+
+} // namespace
 
 auto is_store_reader(const std::vector<member>& members, const member& self, std::size_t count)
     -> bool
@@ -14,4 +24,20 @@
     return static_cast<std::size_t>(preceding) < count;
 }
 
+auto store_readers_per_zone(const std::vector<member>& members) -> std::size_t
+{
+    auto zones = std::set<std::string>{};
+    auto serving = std::size_t{0};
+    for (const auto& known : members) {
+        if (known.serving()) {
+            zones.insert(known.availability_zone);
+            serving += 1;
+        }
+    }
+    if (serving <= max_direct_members) {
+        return small_fleet_readers;
+    }
+    return (min_readers + zones.size() - 1) / zones.size();
+}
+
 } // namespace knapweedchute
