--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -6,6 +6,7 @@
 #include <knapweedchute/relay/refusal_answer.hpp>
 #include <knapweedchute/target/query_zones.hpp>
 
+#include <boost/algorithm/string/join.hpp>
 #include <nlohmann/json.hpp>
 #include <sys/resource.h>
 
@@ -229,8 +230,11 @@
         instance_count_ = serving;
         instances_counted_at_ = now;
     }
-    if (view_.table()) {
-        near_zones_ = query_zones(*view_.table(), view_.targets());
+    if (auto zones = view_.table() ? query_zones(*view_.table(), view_.targets()) : near_zones_;
+        zones != near_zones_) {
+        near_zones_ = std::move(zones);
+        log_line.info("Near zones changed.",
+                      {{"zones", boost::algorithm::join(near_zones_, ",")}});
     }
     const auto preferred = address_selector::preferred(members, near_zones_);
     preferred_count_ = preferred.size();
--- a/tests/process/operations_page.sh
+++ b/tests/process/operations_page.sh
@@ -32,7 +32,7 @@
 page_at 23205/metrics | grep -oE '^# TYPE knapweedchute_[a-z_]+' | sed 's/.*knapweedchute_//' |
     sort -u >"$work/metrics"
 while read -r name; do grep -qF "\`$name\`" "$page" || other+=" $name"; done <"$work/metrics"
-known_elsewhere=' answers_rejected_total bad_requests_total configurations_adopted_total configurations_refused_total datagram_bytes_received_total datagram_bytes_sent_total datagrams_received_total datagrams_refused_total datagrams_sent_total peer_fetches_total platform_calls_total platform_failures_total queries_restarted_total queries_shed_total runs_refused_total runs_sent_total targets_ejected_total'
+known_elsewhere=' answers_rejected_total bad_requests_total configurations_adopted_total configurations_refused_total datagram_bytes_received_total datagram_bytes_sent_total datagrams_received_total datagrams_refused_total datagrams_sent_total peer_fetches_total platform_calls_total platform_failures_total queries_restarted_total runs_refused_total runs_sent_total targets_ejected_total'
 [ "${other:-}" = "$known_elsewhere" ] || fail "metrics that are not on the page:${other:-}"
 sed -n '/^## Metrics/,$p' "$page" | grep -oE '^\| `[a-z_]+`' | cut -d'`' -f2 | while read -r name; do
     grep -qx "$name" "$work/metrics" || fail "no such metric: $name"
