--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -25,7 +25,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -119,8 +118,7 @@
     std::map<address, std::unique_ptr<peer_feed_source>> peer_feeds_;
     std::optional<feed_subscriber> subscriber_;
     std::size_t instance_count_ = 1;
-    ownership ownership_{{}};          ///< Over all members that have not left, dead ones included.
-    std::set<std::string> near_zones_; ///< Availability zones of most targets of queries.
+    ownership ownership_{{}}; ///< Over all members that have not left, dead ones included.
     std::size_t preferred_count_ = 0;
     bool is_preferred_ = false;
     time_point instances_counted_at_;
--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -168,7 +168,6 @@
 #include <knapweedchute/store/http_key_value_store.hpp>
 #include <knapweedchute/store/key_value_store.hpp>
 #include <knapweedchute/store/stored_value.hpp>
-#include <knapweedchute/target/query_zones.hpp>
 #include <knapweedchute/target/target_record.hpp>
 #include <knapweedchute/target/target_registry.hpp>
 #include <knapweedchute/target/version_rule.hpp>
--- a/include/knapweedchute/membership/address_selector.hpp
+++ b/include/knapweedchute/membership/address_selector.hpp
@@ -31,13 +31,8 @@
 
     /// \brief Returns the alive instances with a large processor share, and the next largest if
     ///        these are fewer than the minimum.
-    /// \param members    Known instances.
-    /// \param near_zones Availability zones of most targets; instances in other zones are left out
-    ///                   while enough are alive in these. Empty: no zone is preferred.
     /// \returns Instances in descending order of their processor share.
-    [[nodiscard]] static auto preferred(const std::vector<member>& members,
-                                        const std::set<std::string>& near_zones = {})
-        -> std::vector<member>;
+    [[nodiscard]] static auto preferred(const std::vector<member>& members) -> std::vector<member>;
 
     /// \param seed Seed of the random number generator.
     explicit address_selector(std::uint64_t seed);
@@ -46,12 +41,10 @@
     /// \param members        Known instances.
     /// \param excluded_zones Availability zones that receive no traffic.
     /// \param caller_zone    Availability zone of the caller, or empty if it is unknown.
-    /// \param near_zones     As for `preferred`.
     /// \returns At most `max_addresses` instances; empty if none is eligible.
     [[nodiscard]] auto select(const std::vector<member>& members,
                               const std::set<std::string>& excluded_zones,
-                              const std::string& caller_zone,
-                              const std::set<std::string>& near_zones = {}) -> std::vector<member>;
+                              const std::string& caller_zone) -> std::vector<member>;
 
 private:
     std::mt19937_64 random_;
--- a/include/knapweedchute/relay/relay_policy.hpp
+++ b/include/knapweedchute/relay/relay_policy.hpp
@@ -23,7 +23,7 @@
     /// Maximum checks for stragglers per request.
     int max_straggler_checks = 3;
     /// Cost added to a target in another availability zone, as a multiple of typical latency.
-    double zone_cost = 0.15;
+    double zone_cost = 0.4;
     /// Random variation of costs, so that instances with equal state select different targets.
     double cost_spread = 0.1;
     /// Whether requests above the capacity of the targets wait or are rejected before any part is
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -4,9 +4,7 @@
 #include <knapweedchute/entry/entry_instance.hpp>
 #include <knapweedchute/membership/limit_fraction.hpp>
 #include <knapweedchute/relay/refusal_answer.hpp>
-#include <knapweedchute/target/query_zones.hpp>
 
-#include <boost/algorithm/string/join.hpp>
 #include <nlohmann/json.hpp>
 #include <sys/resource.h>
 
@@ -230,13 +228,7 @@
         instance_count_ = serving;
         instances_counted_at_ = now;
     }
-    if (auto zones = view_.table() ? query_zones(*view_.table(), view_.targets()) : near_zones_;
-        zones != near_zones_) {
-        near_zones_ = std::move(zones);
-        log_line.info("Near zones changed.",
-                      {{"zones", boost::algorithm::join(near_zones_, ",")}});
-    }
-    const auto preferred = address_selector::preferred(members, near_zones_);
+    const auto preferred = address_selector::preferred(members);
     preferred_count_ = preferred.size();
     is_preferred_ = std::any_of(preferred.begin(), preferred.end(), [&](const auto& peer) {
         return peer.instance == settings_.instance;
--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -28,7 +28,7 @@
 
 auto entry_instance::answer_addresses() -> relayed_answer
 {
-    const auto chosen = address_selector_.select(peers_.members(), {}, {}, near_zones_);
+    const auto chosen = address_selector_.select(peers_.members(), {}, {});
     if (chosen.empty()) {
         return not_run_answer("no instance is ready", retry_after);
     }
--- a/src/membership/address_selector.cpp
+++ b/src/membership/address_selector.cpp
@@ -6,18 +6,11 @@
 
 address_selector::address_selector(std::uint64_t seed) : random_{seed} {}
 
-auto address_selector::preferred(const std::vector<member>& members,
-                                 const std::set<std::string>& near_zones) -> std::vector<member>
+auto address_selector::preferred(const std::vector<member>& members) -> std::vector<member>
 {
     auto alive = std::vector<member>{};
     std::copy_if(members.begin(), members.end(), std::back_inserter(alive),
                  [](const auto& item) { return item.state == member_state::alive; });
-    const auto far = std::stable_partition(alive.begin(), alive.end(), [&](const auto& item) {
-        return near_zones.contains(item.availability_zone);
-    });
-    if (far - alive.begin() >= static_cast<std::ptrdiff_t>(min_addresses)) {
-        alive.erase(far, alive.end());
-    }
     std::stable_sort(alive.begin(), alive.end(), [](const auto& left, const auto& right) {
         return left.processor_permil > right.processor_permil;
     });
@@ -33,11 +26,10 @@
 
 auto address_selector::select(const std::vector<member>& members,
                               const std::set<std::string>& excluded_zones,
-                              const std::string& caller_zone,
-                              const std::set<std::string>& near_zones) -> std::vector<member>
+                              const std::string& caller_zone) -> std::vector<member>
 {
     auto selected = std::vector<member>{};
-    const auto usable = preferred(members, near_zones);
+    const auto usable = preferred(members);
     std::copy_if(usable.begin(), usable.end(), std::back_inserter(selected), [&](const auto& item) {
         return !excluded_zones.contains(item.availability_zone);
     });
