--- a/include/knapweedchute/relay/relay_policy.hpp
+++ b/include/knapweedchute/relay/relay_policy.hpp
@@ -23,11 +23,12 @@
     /// Maximum checks for stragglers per request.
     int max_straggler_checks = 3;
     /// Cost added to a target in another availability zone, as a multiple of typical latency.
-    double zone_cost = 0.15;
+    double zone_cost = 0.4;
     /// Random variation of costs, so that instances with equal state select different targets.
     double cost_spread = 0.1;
-    /// Value of `Retry-After` when no target accepts a request.
-    duration retry_after = milliseconds{250};
+    /// Whether requests above the capacity of the targets wait or are rejected before any part is
+    /// sent.
+    bool limit_concurrency = true;
 };
 
 } // namespace knapweedchute
