Readers keep their followers over one lost answer and pass on differences

After lost history followers read everything again. Change: a reader serves its followers for a second after the first failed call; a new full state is retained as differences.

--- a/emulator/experiment_report.cpp
+++ b/emulator/experiment_report.cpp
@@ -79,8 +79,8 @@
             }
         }
         script << "EOD\n";
-        plots += (plots.empty() ? "plot $" : ", $") + name + " using 1:2 with linespoints title '" +
-                 name + "'";
+        plots.append(plots.empty() ? "plot $" : ", $").append(name);
+        plots.append(" using 1:2 with linespoints title '").append(name).append("'");
     }
     script << plots << '\n';
     return script.str();
--- a/include/knapweedchute/feed/feed_cache.hpp
+++ b/include/knapweedchute/feed/feed_cache.hpp
@@ -16,7 +16,11 @@
     /// \brief Maximum number of changes retained for peers that lag behind.
     static constexpr auto max_changes = std::size_t{4'096};
 
-    /// \brief Replaces the contents by a full state and discards the retained changes.
+    /// \brief Replaces the contents by a full state.
+    /// \detail The differences from the earlier state are retained as changes, so that peers need
+    /// no
+    ///         full state of their own. The first state, and one that is older, discards all
+    ///         changes.
     /// \param items    Every key with its state.
     /// \param revision Revision up to which `items` is complete.
     auto reset(const std::map<std::string, feed_event>& items, std::uint64_t revision) -> void;
@@ -36,6 +40,10 @@
     [[nodiscard]] auto revision() const noexcept -> std::uint64_t { return revision_; }
 
 private:
+    auto retain_differences(const std::map<std::string, feed_event>& items, std::uint64_t revision)
+        -> void;
+    auto drop_oldest_changes() -> void;
+
     std::map<std::string, feed_event> items_;
     std::multimap<std::uint64_t, feed_event> changes_;
     std::uint64_t history_start_ = 0;
--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -42,6 +42,8 @@
     auto start() -> void { read_all(); }
 
     /// \brief Returns the cache to serve to peers.
+    /// \detail One lost answer of the store is no reason to send all followers elsewhere: the cache
+    ///         stays available for a short time in which the store is called again.
     /// \returns The cache; null if it may be behind or this instance follows a peer.
     [[nodiscard]] auto cache_for_peers() const -> const feed_cache*;
 
@@ -85,6 +87,7 @@
     std::optional<member> followed_peer_;
     std::optional<time_point> last_disruption_;
     std::size_t consecutive_failures_ = 0;
+    time_point failing_since_; ///< First of the consecutive failures.
     bool history_lost_ = false;
 };
 
--- a/src/feed/feed_cache.cpp
+++ b/src/feed/feed_cache.cpp
@@ -7,12 +7,42 @@
 auto feed_cache::reset(const std::map<std::string, feed_event>& items, std::uint64_t revision)
     -> void
 {
+    if (revision_ > 0 && revision > revision_) {
+        retain_differences(items, revision);
+    } else if (revision != revision_) {
+        changes_.clear();
+        history_start_ = revision;
+    }
     items_ = items;
-    changes_.clear();
-    history_start_ = revision;
     revision_ = revision;
 }
 
+auto feed_cache::retain_differences(const std::map<std::string, feed_event>& items,
+                                    std::uint64_t revision) -> void
+{
+    // Peers know the state at the earlier revision; the new one brings them all differences.
+    for (const auto& [key, known] : items_) {
+        if (!items.contains(key)) {
+            changes_.emplace(revision, feed_event{key, {}, revision, true});
+        }
+    }
+    for (const auto& [key, event] : items) {
+        const auto known = items_.find(key);
+        if (known == items_.end() || known->second.revision != event.revision) {
+            changes_.emplace(revision, event);
+        }
+    }
+    drop_oldest_changes();
+}
+
+auto feed_cache::drop_oldest_changes() -> void
+{
+    while (changes_.size() > max_changes) {
+        history_start_ = changes_.begin()->first;
+        changes_.erase(changes_.begin());
+    }
+}
+
 auto feed_cache::apply(const feed_page& page) -> void
 {
     for (const auto& event : page.events) {
@@ -27,10 +57,7 @@
         }
     }
     revision_ = std::max(revision_, page.revision);
-    while (changes_.size() > max_changes) {
-        history_start_ = changes_.begin()->first;
-        changes_.erase(changes_.begin());
-    }
+    drop_oldest_changes();
 }
 
 auto feed_cache::changes_after(std::uint64_t after) const -> std::optional<feed_page>
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -21,6 +21,8 @@
 /// Delay between a watch that returned changes and the next one: changes arrive in bursts, each
 /// call is billed, and one call then returns a complete burst.
 constexpr auto batching_delay = milliseconds{300};
+/// Time after the first failed call during which peers may still follow this instance.
+constexpr auto failure_tolerance = milliseconds{1'000};
 constexpr auto base_retry_delay = milliseconds{100};
 constexpr auto max_retry_delay = milliseconds{800};
 /// Entries that expired during a store outage reappear within two seconds of its end.
@@ -42,8 +44,9 @@
 
 auto feed_subscriber::cache_for_peers() const -> const feed_cache*
 {
-    return cache_.revision() > 0 && consecutive_failures_ == 0 && !followed_peer_ ? &cache_
-                                                                                  : nullptr;
+    const auto in_contact =
+        consecutive_failures_ == 0 || timers_->now() - failing_since_ < failure_tolerance;
+    return cache_.revision() > 0 && in_contact && !followed_peer_ ? &cache_ : nullptr;
 }
 
 auto feed_subscriber::read_all() -> void
@@ -180,6 +183,9 @@
                          {{"revision", std::to_string(cache_.revision())},
                           {"from", followed_peer_ ? followed_peer_->instance : "store"}});
     }
+    if (consecutive_failures_ == 0) {
+        failing_since_ = timers_->now();
+    }
     consecutive_failures_ += 1;
     if (followed_peer_) {
         selector_.record_failure(followed_peer_->instance, timers_->now());
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -188,8 +188,8 @@
     if (!call->ended() && !part.done()) {
         part.last_status = result.status;
         part.may_have_run = part.may_have_run || !provably_not_run(result.status);
-        part.rejected = part.rejected ||
-                        (result.status == exchange_status::not_run && !result.never_sent);
+        part.rejected =
+            part.rejected || (result.status == exchange_status::not_run && !result.never_sent);
         if (useful) {
             part.answer = std::move(result.answer);
             for (const auto& [other, since] : part.open_exchanges) {
--- a/tests/support/scenario_runner.cpp
+++ b/tests/support/scenario_runner.cpp
@@ -286,6 +286,9 @@
 auto lua_stop_load(lua_State* lua) -> int
 {
     const auto view = world_of(lua).stop_load();
+    for (const auto& refusal : view.refusals) {
+        std::cerr << "refused: " << refusal << '\n';
+    }
     lua_newtable(lua);
     push_number(lua, "whole", view.whole);
     push_number(lua, "partial", view.partial);
--- a/tests/support/scenario_world.cpp
+++ b/tests/support/scenario_world.cpp
@@ -17,6 +17,7 @@
 constexpr auto default_lifetime_ms = 300;
 constexpr auto load_pause = milliseconds{2};
 constexpr auto status_ok = 200L;
+constexpr auto max_kept_refusals = std::size_t{5};
 const auto operator_key = std::string{"operator-key-012345"};
 
 auto view_of(const std::optional<http_response>& response) -> caller_view
@@ -307,6 +308,9 @@
     }
     if (view.status != status_ok) {
         load_.refused += 1;
+        if (load_.refusals.size() < max_kept_refusals) {
+            load_.refusals.push_back(std::to_string(view.status) + " " + view.body.dump());
+        }
         return;
     }
     const auto& coverage = view.body.at("coverage");
--- a/tests/support/scenario_world.hpp
+++ b/tests/support/scenario_world.hpp
@@ -34,7 +34,8 @@
     std::uint64_t refused = 0;
     std::uint64_t cut = 0;         ///< No whole response although the connection was made.
     std::uint64_t unreachable = 0; ///< No connection to an address whose answer was still valid.
-    std::uint64_t violations = 0;  ///< Hits of another snapshot or coverage that does not add up.
+    std::vector<std::string> refusals; ///< The first refusals as their callers saw them.
+    std::uint64_t violations = 0; ///< Hits of another snapshot or coverage that does not add up.
 };
 
 /// \brief Everything that a scenario acts on: stand-ins, instances, gates, a load.
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -299,4 +299,40 @@
     BOOST_TEST(cache.full_state().events.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(feed_one_lost_answer_of_the_store_does_not_turn_followers_away)
+{
+    start();
+    auto available_throughout = true;
+    subscriber->on_change([&] {
+        available_throughout = available_throughout && subscriber->cache_for_peers() != nullptr;
+    });
+    store.up = false;
+    timers.advance(milliseconds{3'600});
+    store.up = true;
+    timers.advance(seconds{1});
+    BOOST_TEST(available_throughout);
+    store.up = false;
+    timers.advance(seconds{6});
+    BOOST_TEST(subscriber->cache_for_peers() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(cache_with_a_new_full_state_returns_the_differences_to_followers)
+{
+    auto cache = feed_cache{};
+    cache.reset({{"a", event("a", 5)}, {"b", event("b", 4)}, {"c", event("c", 3)}}, 6);
+    cache.reset({{"a", event("a", 5)}, {"b", event("b", 8)}, {"d", event("d", 9)}}, 10);
+    const auto page = cache.changes_after(6);
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->revision == 10U);
+    auto changed = std::map<std::string, bool>{};
+    for (const auto& change : page->events) {
+        changed[change.key] = change.deleted;
+    }
+    BOOST_TEST((changed == std::map<std::string, bool>{{"b", false}, {"c", true}, {"d", false}}));
+    BOOST_TEST(cache.changes_after(10)->events.empty());
+    BOOST_TEST(!cache.changes_after(5).has_value());
+    cache.reset({{"a", event("a", 2)}}, 3);
+    BOOST_TEST(!cache.changes_after(2).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
