--- a/tests/unit/net/caller_session_test.cpp
+++ b/tests/unit/net/caller_session_test.cpp
@@ -130,6 +130,12 @@
     BOOST_TEST(status_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n") == "413");
     BOOST_TEST(status_of("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" +
                          std::string(65, 'x') + "\r\n0\r\n\r\n") == "413");
+    // The body arrives with the header, and looks like the rest of one.
+    BOOST_TEST(status_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n" +
+                         std::string(65, 'x')) == "413");
+    BOOST_TEST(status_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n"
+                         "X: y\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n") == "413");
+    BOOST_TEST(handler.handled == 0);
 }
 
 BOOST_AUTO_TEST_CASE(slow_request_gets_408)
--- a/tests/unit/net/target_connection_test.cpp
+++ b/tests/unit/net/target_connection_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -305,4 +306,31 @@
     BOOST_TEST((results.back().status == exchange_status::broken));
 }
 
+BOOST_AUTO_TEST_CASE(mutated_answer_is_never_the_answer_to_another_request)
+{
+    constexpr auto rounds = 300;
+    const auto answers = std::vector<std::string>{
+        "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nId: r1\r\nNot-Run: 1\r\n"
+        "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 1\r\n\r\nx"
+        "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 1\r\n\r\ny"};
+    auto random = std::mt19937_64{1};
+    for (auto round = 0; round < rounds; ++round) {
+        auto bytes = answers.at(random() % answers.size());
+        for (auto count = random() % 4; count > 0; --count) {
+            bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+        }
+        result.reset();
+        loop.restart();
+        const auto& end =
+            send_request(random() % 4 == 0 ? bytes.substr(0, bytes.size() / 2) : bytes);
+        const auto* id = find_field(end.answer.fields, "Id");
+        BOOST_TEST((end.status != exchange_status::answered || id == nullptr || id->value == "r1"),
+                   "round " << round << ": " << bytes);
+        BOOST_TEST((end.status != exchange_status::unknown), "round " << round << ": " << bytes);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
