No hedges while a limit has just fallen; a reader without contact passes nothing on

Feed: a reader that was paused answered its followers from what it knew before the pause, so that an instance that started then could take over a withdrawn key. Test: feed_without_contact_to_the_store_is_not_passed_on_to_peers.

--- a/emulator/emulated_fleet.cpp
+++ b/emulator/emulated_fleet.cpp
@@ -84,8 +84,8 @@
 {
     add_targets();
     for (auto index = std::size_t{0}; index < options_.instances; ++index) {
-        instances_.push_back(std::make_unique<instance>(
-            options_, zone_name(index % options_.zones), *this, seed + index));
+        instances_.push_back(std::make_unique<instance>(options_, zone_name(index % options_.zones),
+                                                        *this, seed + index));
     }
 }
 
@@ -140,8 +140,8 @@
 auto emulated_fleet::work_of(const std::string& request) -> duration
 {
     const auto& kind = kinds_->at(std::stoul(request));
-    auto spread = std::lognormal_distribution<double>{
-        -kind.work_spread * kind.work_spread / 2.0, kind.work_spread};
+    auto spread = std::lognormal_distribution<double>{-kind.work_spread * kind.work_spread / 2.0,
+                                                      kind.work_spread};
     return std::chrono::duration_cast<duration>(kind.work * spread(random_));
 }
 
@@ -154,8 +154,8 @@
     const auto& kind = kinds_->at(sent.kind);
     const auto parts = kind.all_shards ? options_.shards : 1;
     auto& chosen = *instances_.at(random_() % instances_.size());
-    auto request = relayed_request{
-        "GET", "/" + kind.name + "/x", "h", {{"Id", sent.id}}, {}, sent.id, sent.time_left};
+    auto request = relayed_request{"GET",   "/" + kind.name + "/x", "h", {{"Id", sent.id}}, {},
+                                   sent.id, sent.time_left};
     static_cast<void>(chosen.coordinator.start(
         table_, std::move(request),
         [parts, respond = std::move(respond)](const relayed_answer& answer) {
--- a/emulator/emulated_fleet.hpp
+++ b/emulator/emulated_fleet.hpp
@@ -19,17 +19,17 @@
 /// \brief A caller's attempt.
 struct attempt
 {
-    std::size_t kind = 0;          ///< Index of its kind.
-    std::string id;                ///< Id, unique among all attempts.
-    milliseconds time_left{0};     ///< Time until the caller gives up.
+    std::size_t kind = 0;      ///< Index of its kind.
+    std::string id;            ///< Id, unique among all attempts.
+    milliseconds time_left{0}; ///< Time until the caller gives up.
 };
 
 /// \brief An answer as its caller sees it.
 struct attempt_answer
 {
-    unsigned status = 0;           ///< HTTP status.
-    double coverage = 0.0;         ///< Share of the shards in the answer, 0 to 1.
-    duration retry_after{0};       ///< Time to return that the answer states; 0 if none.
+    unsigned status = 0;     ///< HTTP status.
+    double coverage = 0.0;   ///< Share of the shards in the answer, 0 to 1.
+    duration retry_after{0}; ///< Time to return that the answer states; 0 if none.
 };
 
 /// \brief Instances, targets and routes in virtual time.
--- a/emulator/emulated_port.cpp
+++ b/emulator/emulated_port.cpp
@@ -25,16 +25,15 @@
     to.idle -= reused ? 1 : 0;
     to.open += reused ? 0 : 1;
     exchanges_[id] = {order.target->id, std::move(done), 0, reused};
-    timers_->at(timers_->now() + one_way_,
-                [this, id, reused, target = order.target->id, request = order.request_id] {
-                    const auto found = exchanges_.find(id);
-                    if (found == exchanges_.end()) {
-                        return;
-                    }
-                    found->second.job =
-                        targets_->submit({target, request, !reused},
-                                         [this, id](auto result) { deliver(id, result); });
-                });
+    timers_->at(timers_->now() + one_way_, [this, id, reused, target = order.target->id,
+                                            request = order.request_id] {
+        const auto found = exchanges_.find(id);
+        if (found == exchanges_.end()) {
+            return;
+        }
+        found->second.job = targets_->submit({target, request, !reused},
+                                             [this, id](auto result) { deliver(id, result); });
+    });
     return id;
 }
 
--- a/emulator/emulated_targets.cpp
+++ b/emulator/emulated_targets.cpp
@@ -91,11 +91,12 @@
     }
 }
 
-auto emulated_targets::occupied_time(const job_state& which, const target_model& model) const -> duration
+auto emulated_targets::occupied_time(const job_state& which, const target_model& model) const
+    -> duration
 {
-    const auto work = std::chrono::duration_cast<duration>(work_(which.order.request) *
-                                                           model.slowdown) +
-                      (which.order.new_connection ? model.connection_setup : duration{0});
+    const auto work =
+        std::chrono::duration_cast<duration>(work_(which.order.request) * model.slowdown) +
+        (which.order.new_connection ? model.connection_setup : duration{0});
     if (model.pause == duration{0}) {
         return work;
     }
--- a/emulator/emulated_targets.hpp
+++ b/emulator/emulated_targets.hpp
@@ -80,7 +80,8 @@
     auto end_soon(job_id id, exchange_status status, bool never_sent) -> void;
     auto start_waiting(const std::string& target) -> void;
     auto finish(job_id id) -> void;
-    [[nodiscard]] auto occupied_time(const job_state& which, const target_model& model) const -> duration;
+    [[nodiscard]] auto occupied_time(const job_state& which, const target_model& model) const
+        -> duration;
 
     timer_queue* timers_;
     work_function work_;
--- a/emulator/experiment.cpp
+++ b/emulator/experiment.cpp
@@ -28,13 +28,12 @@
     }
     const auto affected =
         static_cast<std::size_t>(std::ceil(fault.share * static_cast<double>(shards)));
-    fleet.change([affected](auto shard, auto replica, auto) {
-        return replica == 0 && shard < affected;
-    },
-                 [&](auto& model) {
-                     model.slowdown = fault.slowdown;
-                     model.rejected_share = fault.rejected_share;
-                 });
+    fleet.change(
+        [affected](auto shard, auto replica, auto) { return replica == 0 && shard < affected; },
+        [&](auto& model) {
+            model.slowdown = fault.slowdown;
+            model.rejected_share = fault.rejected_share;
+        });
 }
 
 auto add(experiment_row& sum, const experiment_row& other) -> void
--- a/emulator/experiment_config.cpp
+++ b/emulator/experiment_config.cpp
@@ -1,4 +1,5 @@
 #include "experiment_config.hpp"
+
 #include "table_reader.hpp"
 
 #include <array>
--- a/emulator/fleet_options.hpp
+++ b/emulator/fleet_options.hpp
@@ -21,13 +21,13 @@
 /// \brief Size of an emulated fleet.
 struct fleet_options
 {
-    std::size_t instances = 9;      ///< Instances that callers use.
-    std::size_t zones = 3;          ///< Availability zones of instances and targets.
-    std::size_t shards = 20;        ///< Services that a query goes to.
-    std::size_t replicas = 2;       ///< Targets of each service.
-    std::size_t connections = 26;   ///< Connections that a target accepts from all instances.
+    std::size_t instances = 9;         ///< Instances that callers use.
+    std::size_t zones = 3;             ///< Availability zones of instances and targets.
+    std::size_t shards = 20;           ///< Services that a query goes to.
+    std::size_t replicas = 2;          ///< Targets of each service.
+    std::size_t connections = 26;      ///< Connections that a target accepts from all instances.
     duration one_way{milliseconds{1}}; ///< Network delay between instances and targets.
-    target_model target;            ///< Model of each target.
+    target_model target;               ///< Model of each target.
     fleet_policy policy = fleet_policy::admission; ///< Policy of the instances.
 };
 
--- a/include/knapweedchute/admission/relay_admission.hpp
+++ b/include/knapweedchute/admission/relay_admission.hpp
@@ -26,11 +26,11 @@
 struct admission_verdict
 {
     admission_decision decision = admission_decision::start; ///< What happens to the request.
-    duration expected_wait{0};          ///< Expected time until it could start.
-    duration max_wait{0};               ///< Longest time that it may wait.
-    double limit = 0.0;                 ///< Requests that may be in progress in its group.
-    std::size_t in_progress = 0;        ///< Requests in progress in its group.
-    std::size_t waiting = 0;            ///< Requests that wait in its group.
+    duration expected_wait{0};   ///< Expected time until it could start.
+    duration max_wait{0};        ///< Longest time that it may wait.
+    double limit = 0.0;          ///< Requests that may be in progress in its group.
+    std::size_t in_progress = 0; ///< Requests in progress in its group.
+    std::size_t waiting = 0;     ///< Requests that wait in its group.
 
     [[nodiscard]] auto operator==(const admission_verdict&) const -> bool = default;
 };
--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -44,6 +44,7 @@
     /// \brief Returns the cache to serve to peers.
     /// \detail One lost answer of the store is no reason to send all followers elsewhere: the cache
     ///         stays available for a short time in which the store is called again.
+    ///         A process that was paused does not pass on what was true before the pause.
     /// \returns The cache; null if it may be behind or this instance follows a peer.
     [[nodiscard]] auto cache_for_peers() const -> const feed_cache*;
 
@@ -88,6 +89,7 @@
     std::optional<time_point> last_disruption_;
     std::size_t consecutive_failures_ = 0;
     time_point failing_since_; ///< First of the consecutive failures.
+    time_point last_contact_;  ///< Latest answer of the source.
     bool history_lost_ = false;
 };
 
--- a/include/knapweedchute/relay/request_log.hpp
+++ b/include/knapweedchute/relay/request_log.hpp
@@ -13,12 +13,12 @@
 /// \brief Why a request is logged.
 enum class log_reason : std::uint8_t
 {
-    failed,  ///< It ended with a status of 500 or more.
-    partial, ///< Shards are missing from its answer.
+    failed,   ///< It ended with a status of 500 or more.
+    partial,  ///< Shards are missing from its answer.
     rejected, ///< It was rejected before any part was sent.
-    late,    ///< It was answered after the route's latency goal.
-    sampled, ///< It succeeded and belongs to the sample.
-    none     ///< It is not logged.
+    late,     ///< It was answered after the route's latency goal.
+    sampled,  ///< It succeeded and belongs to the sample.
+    none      ///< It is not logged.
 };
 
 /// \brief Logs how requests ended and why, at a limited rate.
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -23,6 +23,9 @@
 constexpr auto batching_delay = milliseconds{300};
 /// Time after the first failed call during which peers may still follow this instance.
 constexpr auto failure_tolerance = milliseconds{1'000};
+/// Age of the latest answer from which the cache is not passed on: longer than a watch, its margin
+/// and the tolerated failure.
+constexpr auto max_contact_age = direct_watch_timeout + failure_tolerance + milliseconds{1'000};
 constexpr auto base_retry_delay = milliseconds{100};
 constexpr auto max_retry_delay = milliseconds{800};
 /// Entries that expired during a store outage reappear within two seconds of its end.
@@ -44,8 +47,10 @@
 
 auto feed_subscriber::cache_for_peers() const -> const feed_cache*
 {
+    const auto now = timers_->now();
     const auto in_contact =
-        consecutive_failures_ == 0 || timers_->now() - failing_since_ < failure_tolerance;
+        (consecutive_failures_ == 0 || now - failing_since_ < failure_tolerance) &&
+        now - last_contact_ < max_contact_age;
     return cache_.revision() > 0 && in_contact && !followed_peer_ ? &cache_ : nullptr;
 }
 
@@ -203,6 +208,7 @@
         log_line.info("Source regained.", {{"losses", std::to_string(consecutive_failures_)}});
     }
     consecutive_failures_ = 0;
+    last_contact_ = timers_->now();
     if (recent_disruption) {
         last_disruption_ = timers_->now();
     }
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -244,9 +244,10 @@
 {
     const auto typical_latency = route_latency_.typical(*call->matched_route);
     call->straggler_timer = 0;
-    // A typical latency above half of the goal means that all targets are slow; hedges would
-    // only add load.
-    if (typical_latency * 2 > call->matched_route->latency_goal) {
+    // A typical latency above half of the goal means that all targets are slow, and a limit that
+    // has fallen that they are full; hedges would only add load.
+    if (typical_latency * 2 > call->matched_route->latency_goal ||
+        admission_.is_overloaded(call->admission.group, timers_->now())) {
         return;
     }
     for (auto index = std::size_t{0}; index < call->parts.size(); ++index) {
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -56,6 +56,9 @@
                 reply.page.events.push_back(change);
             }
         }
+        if (lost) {
+            return;
+        }
         if (silent || hanging) {
             complete_after({feed_read_status::failed, {}}, wait + milliseconds{500},
                            std::move(done));
@@ -87,6 +90,7 @@
     std::size_t watches = 0;
     bool up = true;
     bool hanging = false; ///< New watches time out, even if the source recovers meanwhile.
+    bool lost = false;    ///< New watches are never answered, as for a paused process.
     bool silent = false;  ///< Watches on kept connections time out; new connections work.
 
 private:
@@ -335,4 +339,14 @@
     BOOST_TEST(!cache.changes_after(2).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(feed_without_contact_to_the_store_is_not_passed_on_to_peers)
+{
+    start();
+    store.lost = true;
+    timers.advance(seconds{4});
+    BOOST_TEST(subscriber->cache_for_peers() != nullptr);
+    timers.advance(seconds{6});
+    BOOST_TEST(subscriber->cache_for_peers() == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
