Callers of requests that no target can take are told to return late

Cause: with no target, nothing ends and the schedule of returns started at its shortest time, 100 ms; callers with one retry used it up at once. Change: a time near the longest that callers heed.

--- a/include/knapweedchute/admission/relay_admission.hpp
+++ b/include/knapweedchute/admission/relay_admission.hpp
@@ -79,6 +79,13 @@
     /// \brief Returns when the caller of a rejected request shall return.
     [[nodiscard]] auto retry_after(const admission_request& request, time_point now) -> duration;
 
+    /// \brief Returns when the caller of a request that no target can take shall return.
+    [[nodiscard]] auto retry_after_outage(const admission_request& request, time_point now)
+        -> duration
+    {
+        return returns_.latest(request.deadline - now);
+    }
+
     /// \brief Whether a group was overloaded recently, so that extra requests would only add load.
     [[nodiscard]] auto is_overloaded(const std::string& group, time_point now) const -> bool;
 
--- a/include/knapweedchute/admission/return_schedule.hpp
+++ b/include/knapweedchute/admission/return_schedule.hpp
@@ -34,6 +34,14 @@
     [[nodiscard]] auto next(double rate, duration time_left, int priority, time_point now)
         -> duration;
 
+    /// \brief Returns when a caller shall return whose request no target can take now.
+    /// \detail When targets will be back is not known; a caller that returns early would only use
+    /// up
+    ///         its retries.
+    /// \param time_left Time until the caller's deadline.
+    /// \returns A time near the longest that `next` returns.
+    [[nodiscard]] auto latest(duration time_left) -> duration;
+
 private:
     std::mt19937_64 random_;
     time_point next_return_;
--- a/src/admission/return_schedule.cpp
+++ b/src/admission/return_schedule.cpp
@@ -19,14 +19,21 @@
     return std::chrono::duration_cast<duration>(time * factor);
 }
 
+auto longest_time(duration time_left) -> duration
+{
+    return std::max<duration>(
+        std::min<duration>(return_schedule::max_time,
+                           scaled(time_left, return_schedule::heeded_fraction)),
+        return_schedule::min_time);
+}
+
 } // namespace
 
 auto return_schedule::next(double rate, duration time_left, int priority, time_point now)
     -> duration
 {
     const auto spacing = std::chrono::duration<double>(1.0 / (rate > 0.0 ? rate : unknown_rate));
-    const auto longest = std::max<duration>(
-        std::min<duration>(max_time, scaled(time_left, heeded_fraction)), min_time);
+    const auto longest = longest_time(time_left);
     // Returns beyond the longest time are not scheduled: those callers share the last quarter.
     const auto earliest = now + duration{min_time};
     const auto latest = now + longest;
@@ -38,6 +45,12 @@
     return std::max<duration>(scaled(wanted, spread(random_)), min_time);
 }
 
+auto return_schedule::latest(duration time_left) -> duration
+{
+    auto spread = std::uniform_real_distribution<double>{1.0 - spread_fraction, 1.0};
+    return std::max<duration>(scaled(longest_time(time_left), spread(random_)), min_time);
+}
+
 auto retry_after_start(duration waited) noexcept -> duration
 {
     return std::clamp<duration>(waited / 2, first_retry_after, last_retry_after);
--- a/src/relay/relay_start.cpp
+++ b/src/relay/relay_start.cpp
@@ -114,7 +114,9 @@
                                const admission_verdict& verdict) -> void
 {
     const auto now = timers_->now();
-    const auto wait = admission_.retry_after(call->admission, now);
+    const auto wait = call->admission.slots > 0.0
+                          ? admission_.retry_after(call->admission, now)
+                          : admission_.retry_after_outage(call->admission, now);
     call->shed = true;
     counters_->add(counter::queries_shed);
     log_.on_reject(*call, reason, verdict, wait, now);
--- a/tests/unit/admission/relay_admission_test.cpp
+++ b/tests/unit/admission/relay_admission_test.cpp
@@ -134,6 +134,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(return_times_without_any_target_are_late_and_within_what_callers_heed)
+{
+    auto schedule = return_schedule{1};
+    for (auto index = 0; index < 20; ++index) {
+        const auto time = schedule.latest(milliseconds{900});
+        BOOST_TEST((time >= milliseconds{225} && time <= milliseconds{300}));
+        BOOST_TEST((schedule.latest(milliseconds{-5}) >= return_schedule::min_time));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(return_time_without_a_configuration_follows_the_time_waited)
 {
     BOOST_TEST((retry_after_start(milliseconds{10}) == milliseconds{250}));
