--- a/tests/unit/admission/waiting_queue_test.cpp
+++ b/tests/unit/admission/waiting_queue_test.cpp
@@ -18,7 +18,7 @@
     auto arrive(const std::string& kind, int priority, milliseconds wait) -> waiting_request
     {
         queue.on_arrival(kind, priority, now);
-        const auto request = waiting_request{next++, kind, priority, now + wait};
+        auto request = waiting_request{next++, kind, priority, now + wait};
         queue.push(request);
         return request;
     }
