--- a/include/knapweedchute/admission/relay_admission.hpp
+++ b/include/knapweedchute/admission/relay_admission.hpp
@@ -26,11 +26,11 @@
 struct admission_verdict
 {
     admission_decision decision = admission_decision::start; ///< What happens to the request.
-    duration expected_wait{0};          ///< Expected time until it could start.
-    duration max_wait{0};               ///< Longest time that it may wait.
-    double limit = 0.0;                 ///< Requests that may be in progress in its group.
-    std::size_t in_progress = 0;        ///< Requests in progress in its group.
-    std::size_t waiting = 0;            ///< Requests that wait in its group.
+    duration expected_wait{0};   ///< Expected time until it could start.
+    duration max_wait{0};        ///< Longest time that it may wait.
+    double limit = 0.0;          ///< Requests that may be in progress in its group.
+    std::size_t in_progress = 0; ///< Requests in progress in its group.
+    std::size_t waiting = 0;     ///< Requests that wait in its group.
 
     [[nodiscard]] auto operator==(const admission_verdict&) const -> bool = default;
 };
@@ -79,6 +79,13 @@
     /// \brief Returns when the caller of a rejected request shall return.
     [[nodiscard]] auto retry_after(const admission_request& request, time_point now) -> duration;
 
+    /// \brief Returns when the caller of a request that no target can take shall return.
+    [[nodiscard]] auto retry_after_outage(const admission_request& request, time_point now)
+        -> duration
+    {
+        return returns_.latest(request.deadline - now);
+    }
+
     /// \brief Whether a group was overloaded recently, so that extra requests would only add load.
     [[nodiscard]] auto is_overloaded(const std::string& group, time_point now) const -> bool;
 
