A part that all its targets reject is sent anew while the goal allows

Change: at most two more rounds after half of the typical latency, within the budget of extra requests, never where a target may have run the part, and not during an overload. Tests: query_part_rejected_by_all_targets_is_sent_anew_within_the_goal, ..._again_and_again_...

--- a/include/knapweedchute/relay/impl/relay_call.hpp
+++ b/include/knapweedchute/relay/impl/relay_call.hpp
@@ -26,6 +26,7 @@
     std::size_t unsent = 0;                     ///< Sends of which no byte left this instance.
     bool waiting = false;                       ///< Whether it waits for capacity.
     bool failed = false;                        ///< Whether it was abandoned.
+    int rounds = 0;                             ///< Times that rejected sends began anew.
     std::optional<exchange_status> last_status; ///< How its latest exchange ended.
     bool may_have_run = false;                  ///< Whether any target may have run it.
     bool rejected = false;                      ///< Whether a target rejected it as full.
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -120,6 +120,9 @@
                          exchange_result result) -> void;
     auto on_failure(const shared_call& call, std::size_t index, const exchange_result& result)
         -> void;
+    [[nodiscard]] auto may_begin_round(const call_state& call, const part_state& part,
+                                       const exchange_result& result, duration delay) -> bool;
+    auto begin_round(const shared_call& call, std::size_t index, duration delay) -> void;
     [[nodiscard]] auto may_retry(const call_state& call, const part_state& part,
                                  const exchange_result& result) -> bool;
     [[nodiscard]] auto is_useful(const exchange_result& result) const -> bool;
--- a/include/knapweedchute/relay/relay_policy.hpp
+++ b/include/knapweedchute/relay/relay_policy.hpp
@@ -26,6 +26,8 @@
     double zone_cost = 0.4;
     /// Random variation of costs, so that instances with equal state select different targets.
     double cost_spread = 0.1;
+    /// Times that a part that all its targets have rejected is sent anew, after a short delay.
+    int max_rounds = 2;
     /// Whether requests above the capacity of the targets wait or are rejected before any part is
     /// sent.
     bool limit_concurrency = true;
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -15,6 +15,8 @@
 constexpr auto status_redirect = 300U;
 /// Multiple of a route's typical latency above which a request counts as slow for its version.
 constexpr auto slow_multiple = 3;
+constexpr auto min_round_delay = milliseconds{4};
+constexpr auto max_round_delay = milliseconds{20};
 
 /// Whether a status gives no evidence of whether the target works correctly.
 auto is_inconclusive(exchange_status status) -> bool
@@ -22,6 +24,12 @@
     return provably_not_run(status) || status == exchange_status::unknown;
 }
 
+/// Time after which targets that have rejected a part may have a slot again.
+auto round_delay(duration typical_latency) -> duration
+{
+    return std::clamp<duration>(typical_latency / 2, min_round_delay, max_round_delay);
+}
+
 auto is_success(const relayed_answer& answer) -> bool
 {
     return answer.status >= status_success && answer.status < status_redirect;
@@ -82,7 +90,8 @@
     }
     const auto selected = selector_.select_target(part.service, part.tried, now);
     if (selected.target) {
-        send_part(call, index, selected, part.tried.empty() ? trace_step::send : trace_step::retry);
+        const auto first = part.tried.empty() && part.rounds == 0;
+        send_part(call, index, selected, first ? trace_step::send : trace_step::retry);
         return;
     }
     if (!part.open_exchanges.empty()) {
@@ -222,6 +231,41 @@
         dispatch_part(call, index);
     }
     part.failed = part.failed || (part.open_exchanges.empty() && !part.waiting);
+    const auto delay = round_delay(route_latency_.typical(*call->matched_route));
+    if (part.failed && may_begin_round(*call, part, result, delay)) {
+        begin_round(call, index, delay);
+    }
+}
+
+auto relay_coordinator::may_begin_round(const call_state& call, const part_state& part,
+                                        const exchange_result& result, duration delay) -> bool
+{
+    const auto now = timers_->now();
+    const auto rejected = result.status == exchange_status::not_run && !result.never_sent;
+    const auto latest = std::min(call.started + call.matched_route->latency_goal, call.deadline);
+    const auto expected_end = now + delay + route_latency_.typical(*call.matched_route);
+    return call.matched_route->is_query() && rejected && !part.may_have_run &&
+           part.rounds < policy_.max_rounds && expected_end + policy_.goal_margin < latest &&
+           !admission_.is_overloaded(call.admission.group, now) &&
+           extras_->try_acquire(part.service, now);
+}
+
+auto relay_coordinator::begin_round(const shared_call& call, std::size_t index, duration delay)
+    -> void
+{
+    auto& part = call->parts[index];
+    part.failed = false;
+    part.rounds += 1;
+    part.tried.clear();
+    part.unsent = 0;
+    counters_->add(counter::parts_retried);
+    timers_->at(timers_->now() + delay, [this, weak = std::weak_ptr{call}, index] {
+        const auto open_call = weak.lock();
+        if (open_call && !open_call->ended()) {
+            dispatch_part(open_call, index);
+            finish_if_done(open_call);
+        }
+    });
 }
 
 auto relay_coordinator::may_retry(const call_state& call, const part_state& part,
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -214,6 +214,35 @@
     BOOST_TEST(std::count(proofs.begin(), proofs.end(), ',') == 3);
 }
 
+BOOST_AUTO_TEST_CASE(query_part_rejected_by_all_targets_is_sent_anew_within_the_goal)
+{
+    auto rejections = 2;
+    port.answer = [&](const auto& order) {
+        const auto rejects = order.target->service == "s0" && rejections-- > 0;
+        return rejects ? fake_reply{milliseconds{1}, end_with(exchange_status::not_run)}
+                       : reply_to(order);
+    };
+    start_request("/q/x");
+    timers.advance(milliseconds{60});
+    BOOST_TEST(single_answer().status == 200U);
+    BOOST_TEST(header_value("Missing") == "0");
+    BOOST_TEST(port.sent_to("s0-x") + port.sent_to("s0-y") == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(query_part_rejected_again_and_again_is_left_out_before_the_goal)
+{
+    port.answer = [](const auto& order) {
+        return order.target->service == "s0"
+                   ? fake_reply{milliseconds{1}, end_with(exchange_status::not_run)}
+                   : reply_to(order);
+    };
+    start_request("/q/x");
+    timers.advance(milliseconds{150});
+    BOOST_TEST(single_answer().status == 200U);
+    BOOST_TEST(header_value("Missing") == "1");
+    BOOST_TEST(port.sent_to("s0-x") + port.sent_to("s0-y") == 6U);
+}
+
 BOOST_AUTO_TEST_CASE(relay_answer_is_returned_unchanged)
 {
     start_request("/one/x");
