--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -97,12 +97,15 @@
     if (!part.open_exchanges.empty()) {
         return;
     }
-    record_step(*call, index, selected.at_capacity ? trace_step::wait : trace_step::no_target,
-                selected);
     if (selected.at_capacity) {
+        // A waiting part is dispatched at each end of an exchange; one step says that it waits.
+        if (part.steps.empty() || part.steps.back().step != trace_step::wait) {
+            record_step(*call, index, trace_step::wait, selected);
+        }
         wait_for_capacity(call, index);
         return;
     }
+    record_step(*call, index, trace_step::no_target, selected);
     part.failed = true;
 }
 
