--- a/src/admission/relay_admission.cpp
+++ b/src/admission/relay_admission.cpp
@@ -7,7 +7,7 @@
 namespace knapweedchute {
 namespace {
 
-/// Fraction of the latency goal that a request may wait. The rest is for its targets.
+/// Divisor of the latency goal that gives the longest wait. The rest is for the targets.
 constexpr auto max_wait_divisor = 4;
 /// Weight of a new duration in the moving average.
 constexpr auto time_weight_divisor = 8;
