--- a/include/knapweedchute/feed/feed_event.hpp
+++ b/include/knapweedchute/feed/feed_event.hpp
@@ -29,6 +29,8 @@
     std::uint64_t revision = 0;     ///< Revision up to which the page is complete.
     bool truncated = false;         ///< Whether another page follows.
     bool recent_disruption = false; ///< Whether keys may be missing after a store disruption.
+    /// Time in milliseconds since the sender last knew that it had every change of the store.
+    std::uint64_t age_ms = 0;
 
     [[nodiscard]] auto operator==(const feed_page&) const -> bool = default;
 };
@@ -42,7 +44,7 @@
 template <typename Archive>
 auto serialize(Archive& archive, feed_page& value) -> void
 {
-    archive(value.events, value.revision, value.truncated, value.recent_disruption);
+    archive(value.events, value.revision, value.truncated, value.recent_disruption, value.age_ms);
 }
 
 } // namespace knapweedchute
--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -54,6 +54,15 @@
     ///         counts.
     [[nodiscard]] auto has_recent_disruption() const -> bool { return hold_deadline().has_value(); }
 
+    /// \brief Returns the time since every change of the store was last known to have arrived.
+    ///
+    /// \detail A peer's own age counts; a full read of the store does not, since it may be stale.
+    /// \returns The age; nothing before the first answered watch.
+    [[nodiscard]] auto age() const -> std::optional<duration>;
+
+    /// \brief Whether changes are read from a peer instead of the store.
+    [[nodiscard]] auto follows_peer() const noexcept -> bool { return followed_peer_.has_value(); }
+
     /// \brief Sets the callback that runs after each change of the cache or of its availability.
     auto on_change(std::function<void()> callback) -> void { on_change_ = std::move(callback); }
 
@@ -69,6 +78,8 @@
     auto select_source() -> feed_source&;
     auto record_failure() -> void;
     auto record_contact(bool recent_disruption) -> void;
+    auto record_age(const feed_page& page) -> void;
+    [[nodiscard]] auto age_text() const -> std::string;
     auto schedule_after(duration delay, void (feed_subscriber::*task)()) -> void;
     [[nodiscard]] auto retry_delay() const -> duration;
     [[nodiscard]] auto hold_deadline() const -> std::optional<time_point>;
@@ -90,6 +101,7 @@
     std::size_t consecutive_failures_ = 0;
     time_point failing_since_; ///< First of the consecutive failures.
     time_point last_contact_;  ///< Latest answer of the source.
+    std::optional<time_point> up_to_date_at_; ///< When all changes were last known to be here.
     bool history_lost_ = false;
 };
 
--- a/src/feed/feed_handler.cpp
+++ b/src/feed/feed_handler.cpp
@@ -12,6 +12,8 @@
 constexpr auto status_not_found = 404U;
 constexpr auto status_gone = 410U;
 constexpr auto max_wait_ms = std::int64_t{30'000};
+/// Reported before the first answered watch; larger than any age at which a cache is used.
+constexpr auto max_age = std::chrono::duration_cast<duration>(std::chrono::hours{24});
 constexpr auto not_serving = "this instance does not read the store now";
 
 } // namespace
@@ -109,6 +111,8 @@
 {
     auto answer_page = page;
     answer_page.recent_disruption = subscriber_->has_recent_disruption();
+    const auto age = std::chrono::ceil<milliseconds>(subscriber_->age().value_or(max_age));
+    answer_page.age_ms = static_cast<std::uint64_t>(age.count());
     return {status_ok, {}, codec_.encode(answer_page)};
 }
 
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -54,6 +54,11 @@
     return cache_.revision() > 0 && in_contact && !followed_peer_ ? &cache_ : nullptr;
 }
 
+auto feed_subscriber::age() const -> std::optional<duration>
+{
+    return up_to_date_at_ ? std::optional{timers_->now() - *up_to_date_at_} : std::nullopt;
+}
+
 auto feed_subscriber::read_all() -> void
 {
     pending_items_.clear();
@@ -76,6 +81,9 @@
         return;
     }
     record_contact(reply.page.recent_disruption);
+    if (followed_peer_) {
+        record_age(reply.page);
+    }
     // The pages are not one snapshot: the watch starts from their oldest revision and thus repeats
     // the changes made while they were read.
     pending_revision_ = pending_revision_ == 0 ? reply.page.revision
@@ -146,6 +154,7 @@
         return;
     }
     record_contact(reply.page.recent_disruption);
+    record_age(reply.page);
     auto updates = reply.page;
     std::erase_if(updates.events, [this](const auto& event) { return !notify_listener(event); });
     cache_.apply(updates);
@@ -172,7 +181,8 @@
     const auto selected_source = followed_peer_ ? followed_peer_->instance : std::string{};
     if (previous_source != selected_source) {
         log_line.info("Source chosen.",
-                      {{"from", selected_source.empty() ? "store" : selected_source}});
+                      {{"from", selected_source.empty() ? "store" : selected_source},
+                       {"age_ms", age_text()}});
     }
     auto& source = followed_peer_ ? find_peer_source_(*followed_peer_) : *store_;
     if (previous_source != selected_source || consecutive_failures_ > 0) {
@@ -186,7 +196,8 @@
     if (consecutive_failures_ == 0) {
         log_line.warning("Source lost.",
                          {{"revision", std::to_string(cache_.revision())},
-                          {"from", followed_peer_ ? followed_peer_->instance : "store"}});
+                          {"from", followed_peer_ ? followed_peer_->instance : "store"},
+                          {"age_ms", age_text()}});
     }
     if (consecutive_failures_ == 0) {
         failing_since_ = timers_->now();
@@ -214,6 +225,18 @@
     }
 }
 
+auto feed_subscriber::record_age(const feed_page& page) -> void
+{
+    up_to_date_at_ = timers_->now() - milliseconds{page.age_ms};
+}
+
+auto feed_subscriber::age_text() const -> std::string
+{
+    const auto known = age();
+    return known ? std::to_string(std::chrono::duration_cast<milliseconds>(*known).count())
+                 : "unknown";
+}
+
 auto feed_subscriber::schedule_after(duration delay, void (feed_subscriber::*task)()) -> void
 {
     timers_->at(timers_->now() + delay, [this, task] { (this->*task)(); });
