--- /dev/null
+++ b/tests/support/feed_fleet.hpp
@@ -0,0 +1,302 @@
+#pragma once
+
+#include "support/manual_timer_queue.hpp"
+
+#include <knapweedchute/feed/feed_handler.hpp>
+#include <knapweedchute/feed/feed_subscriber.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace knapweedchute::test {
+
+/// \brief Call whose answer reaches its listener once, or fails at a timeout.
+class feed_call
+{
+public:
+    explicit feed_call(feed_source::listener done) : done_{std::move(done)} {}
+
+    static auto start(timer_queue& timers, duration timeout, feed_source::listener done)
+        -> std::shared_ptr<feed_call>
+    {
+        auto call = std::make_shared<feed_call>(std::move(done));
+        timers.at(timers.now() + timeout, [call] { call->finish({}); });
+        return call;
+    }
+
+    auto finish(const feed_reply& reply) -> void
+    {
+        if (const auto done = std::exchange(done_, nullptr)) {
+            done(reply);
+        }
+    }
+
+private:
+    feed_source::listener done_;
+};
+
+/// \brief Contents of the store, shared by the links of all instances.
+struct store_contents
+{
+    std::map<std::string, feed_event> items;
+    std::vector<feed_event> changes;
+    std::uint64_t revision = 1;
+
+    auto write(const std::string& key, const std::string& value) -> void
+    {
+        revision += 1;
+        items[key] = {key, value, revision, false};
+        changes.push_back(items[key]);
+    }
+};
+
+/// \brief Connection of one instance to the store.
+class store_link final : public feed_source
+{
+public:
+    static constexpr auto answer_time = milliseconds{4};
+    static constexpr auto timeout_margin = milliseconds{600};
+
+    store_link(timer_queue& timers, const store_contents& contents)
+        : timers_{&timers}, contents_{&contents}
+    {
+    }
+
+    auto read(const std::string& prefix, const std::string& /*after*/, bool /*allow_stale*/,
+              listener done) -> void override
+    {
+        auto reply = feed_reply{feed_read_status::done, {}};
+        reply.page.revision = contents_->revision;
+        for (const auto& [key, item] : contents_->items) {
+            if (key.starts_with(prefix)) {
+                reply.page.events.push_back(item);
+            }
+        }
+        answer(feed_call::start(*timers_, seconds{1}, std::move(done)), reply);
+    }
+
+    auto renew_connections() -> void override {}
+
+    auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override
+    {
+        calls += 1;
+        auto call = feed_call::start(*timers_, wait + timeout_margin, std::move(done));
+        poll(call, after, timers_->now() + wait);
+    }
+
+    bool cut = false;      ///< Nothing reaches the store or comes back.
+    std::size_t calls = 0; ///< Watches begun.
+
+private:
+    /// Looks for changes every few milliseconds, as the store pushes them.
+    auto poll(const std::shared_ptr<feed_call>& call, std::uint64_t after, time_point end) -> void
+    {
+        auto reply = feed_reply{feed_read_status::done, {}};
+        reply.page.revision = std::max(contents_->revision, after);
+        for (const auto& change : contents_->changes) {
+            if (change.revision > after) {
+                reply.page.events.push_back(change);
+            }
+        }
+        if (!reply.page.events.empty() || timers_->now() >= end) {
+            answer(call, reply);
+            return;
+        }
+        timers_->at(timers_->now() + answer_time, [this, call, after, end] {
+            if (!cut) {
+                poll(call, after, end);
+            }
+        });
+    }
+
+    auto answer(const std::shared_ptr<feed_call>& call, const feed_reply& reply) -> void
+    {
+        timers_->at(timers_->now() + answer_time, [this, call, reply] {
+            if (!cut) {
+                call->finish(reply);
+            }
+        });
+    }
+
+    timer_queue* timers_;
+    const store_contents* contents_;
+};
+
+/// \brief Connection of one instance to the feed handler of another.
+class peer_link final : public feed_source
+{
+public:
+    static constexpr auto answer_time = milliseconds{2};
+
+    peer_link(timer_queue& timers, feed_handler& handler, const envelope& codec)
+        : timers_{&timers}, handler_{&handler}, codec_{&codec}
+    {
+    }
+
+    auto read(const std::string& /*prefix*/, const std::string& /*after*/, bool /*allow_stale*/,
+              listener done) -> void override
+    {
+        call("/feed/all", seconds{1}, std::move(done));
+    }
+
+    auto renew_connections() -> void override {}
+
+    auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override
+    {
+        call("/feed/changes?" + std::to_string(after) + "," + std::to_string(wait.count()),
+             wait + watch_margin(), std::move(done));
+    }
+
+    bool silent = false; ///< Whether the peer is paused or the connection to it is dead.
+
+private:
+    [[nodiscard]] static auto watch_margin() -> duration { return milliseconds{500}; }
+
+    auto call(const std::string& target, duration timeout, listener done) -> void
+    {
+        auto pending = feed_call::start(*timers_, timeout, std::move(done));
+        if (silent) {
+            return;
+        }
+        auto request = relayed_request{};
+        request.target = target;
+        handler_->handle(std::move(request), [this, pending](const relayed_answer& answer) {
+            constexpr auto status_ok = 200U;
+            auto reason = error{};
+            const auto page = answer.status == status_ok
+                                  ? codec_->decode<feed_page>(answer.body, reason)
+                                  : std::nullopt;
+            const auto reply = page ? feed_reply{feed_read_status::done, *page} : feed_reply{};
+            timers_->at(timers_->now() + answer_time, [this, pending, reply] {
+                if (!silent) {
+                    pending->finish(reply);
+                }
+            });
+        });
+    }
+
+    timer_queue* timers_;
+    feed_handler* handler_;
+    const envelope* codec_;
+};
+
+/// \brief Instances that read one store or follow each other, in virtual time.
+class feed_fleet
+{
+public:
+    /// \brief One instance with its link to the store and its links to peers.
+    struct instance final : feed_listener
+    {
+        instance(feed_fleet& fleet, member identity)
+            : self{std::move(identity)}, store{fleet.timers, fleet.contents}, handler{fleet.timers,
+                                                                                      fleet.codec},
+              subscriber{fleet.timers,
+                         store,
+                         [this, &fleet](const member& peer) -> feed_source& {
+                             return fleet.link(*this, peer);
+                         },
+                         [&fleet] { return fleet.members; },
+                         self,
+                         *this,
+                         ""}
+        {
+            handler.set_subscriber(subscriber);
+        }
+
+        auto on_value(const feed_event& state) -> bool override
+        {
+            return std::exchange(values[state.key], state.value) != state.value;
+        }
+        auto on_deletion(const std::string& key, std::optional<time_point> /*hold_until*/)
+            -> void override
+        {
+            values.erase(key);
+        }
+        auto on_complete_list(const std::set<std::string>& /*keys*/,
+                              std::optional<time_point> /*hold_until*/) -> void override
+        {
+        }
+
+        member self;
+        store_link store;
+        feed_handler handler;
+        feed_subscriber subscriber;
+        std::map<std::string, std::string> values;
+        std::map<std::string, std::unique_ptr<peer_link>> links;
+        bool paused = false; ///< Whether peers get no answer from this instance.
+    };
+
+    /// \param zones Availability zone of each instance.
+    explicit feed_fleet(const std::vector<std::string>& zones)
+    {
+        for (const auto& zone : zones) {
+            const auto index = static_cast<std::uint16_t>(members.size());
+            members.push_back({"i" + std::to_string(10 + index),
+                               zone,
+                               {index, 1},
+                               {},
+                               {},
+                               0,
+                               member_state::alive});
+        }
+        contents.write("op/config", "old");
+        for (const auto& known : members) {
+            instances.push_back(std::make_unique<instance>(*this, known));
+        }
+        for (const auto& started : instances) {
+            started->subscriber.start();
+        }
+        timers.advance(seconds{20});
+    }
+
+    /// \brief Returns the time until an instance has a value of the configuration.
+    /// \returns The time, or `limit` if it is not there by then.
+    auto time_until(const instance& observed, const std::string& value, duration limit) -> duration
+    {
+        const auto start = timers.now();
+        while (observed.values.at("op/config") != value && timers.now() - start < limit) {
+            timers.advance(milliseconds{5});
+        }
+        return timers.now() - start;
+    }
+
+    /// \brief Stops an instance from answering its peers.
+    auto pause(instance& paused) -> void
+    {
+        paused.paused = true;
+        for (const auto& other : instances) {
+            if (const auto link = other->links.find(paused.self.instance);
+                link != other->links.end()) {
+                link->second->silent = true;
+            }
+        }
+    }
+
+    manual_timer_queue timers;
+    store_contents contents;
+    envelope codec{"test", message_key{"0123456789abcdef"}};
+    std::vector<member> members;
+    std::vector<std::unique_ptr<instance>> instances;
+
+private:
+    auto link(instance& from, const member& peer) -> feed_source&
+    {
+        auto& link = from.links[peer.instance];
+        if (!link) {
+            for (const auto& other : instances) {
+                if (other->self.instance == peer.instance) {
+                    link = std::make_unique<peer_link>(timers, other->handler, codec);
+                    link->silent = other->paused;
+                }
+            }
+        }
+        return *link;
+    }
+};
+
+} // namespace knapweedchute::test
--- /dev/null
+++ b/tests/unit/feed/propagation_test.cpp
@@ -0,0 +1,87 @@
+#include "support/feed_fleet.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace knapweedchute;
+using namespace knapweedchute::test;
+
+namespace {
+
+constexpr auto apply_limit = seconds{3};
+/// Covers each phase of a reader's watch.
+constexpr auto phase_step = milliseconds{150};
+constexpr auto max_phase = milliseconds{4'500};
+
+const auto nine_in_three_zones =
+    std::vector<std::string>{"a", "a", "a", "a", "b", "b", "b", "c", "c"};
+const auto twelve_in_one_zone = std::vector<std::string>(12, "a");
+
+/// Plays a change once for each phase of the watches and records the largest time until it is in
+/// use.
+struct propagation_fixture
+{
+    duration slowest{0};
+    std::string slowest_case;
+
+    /// \param disturb Called right before the change is written.
+    template <typename Disturbance>
+    auto play(const std::vector<std::string>& zones, Disturbance disturb) -> void
+    {
+        for (auto phase = duration{0}; phase < max_phase; phase += phase_step) {
+            auto fleet = feed_fleet{zones};
+            fleet.timers.advance(phase);
+            const auto affected = disturb(fleet);
+            fleet.contents.write("op/config", "new");
+            for (const auto& observed : fleet.instances) {
+                if (std::find(affected.begin(), affected.end(), observed.get()) == affected.end()) {
+                    record(fleet.time_until(*observed, "new", 2 * apply_limit), *observed, phase);
+                }
+            }
+        }
+    }
+
+    auto record(duration time, const feed_fleet::instance& observed, duration phase) -> void
+    {
+        if (time > slowest) {
+            slowest = time;
+            slowest_case = observed.self.instance + " after " +
+                           std::to_string(phase / milliseconds{1}) +
+                           " ms: " + std::to_string(time / milliseconds{1}) + " ms";
+        }
+    }
+};
+
+auto cut_from_store(feed_fleet& fleet, std::size_t index) -> std::vector<feed_fleet::instance*>
+{
+    fleet.instances[index]->store.cut = true;
+    return {fleet.instances[index].get()};
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(propagation_suite, propagation_fixture)
+
+BOOST_AUTO_TEST_CASE(change_without_disturbance_is_in_use_everywhere_at_once)
+{
+    const auto nothing = [](const auto&) { return std::vector<feed_fleet::instance*>{}; };
+    play(nine_in_three_zones, nothing);
+    play(twelve_in_one_zone, nothing);
+    BOOST_TEST((slowest < milliseconds{700}), slowest_case);
+}
+
+// A follower in contact kept an old configuration because its reader had silently lost the store.
+BOOST_AUTO_TEST_CASE(change_after_a_reader_lost_the_store_reaches_its_followers_in_time)
+{
+    for (const auto& zones : {nine_in_three_zones, twelve_in_one_zone}) {
+        for (auto index = std::size_t{0}; index < 4; ++index) {
+            play(zones, [index](auto& fleet) { return cut_from_store(fleet, index); });
+        }
+    }
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
