Every instance of a small fleet reads the store, in whichever zones they are

Cause: two rules about a small fleet disagree. Readers wait up to 3.5 s for the store when the fleet has nine members or fewer, since nobody follows them then; the choice of readers took three of a zone, so a fourth instance did follow one, and had a change 5,485 ms after the reader had lost the store. Tests of followers use a fleet that has them.

--- a/include/knapweedchute/membership/store_readers.hpp
+++ b/include/knapweedchute/membership/store_readers.hpp
@@ -19,10 +19,10 @@
                                    std::size_t count) -> bool;
 
 /// \brief Returns how many instances of each availability zone read the store.
-/// \detail In a small fleet, all instances of most zones: each then learns a change without a
-/// detour.
-///         In a larger one, few enough that the calls do not grow with the fleet, and enough that
-///         the loss of one reader leaves others.
+/// \detail All of them in a small fleet, where each learns a change without a detour. In a larger
+/// one
+///         few enough that the calls do not grow with the fleet, and enough that the loss of one
+///         reader leaves others.
 /// \param members Known instances.
 /// \returns Readers per availability zone, at least 1.
 [[nodiscard]] auto store_readers_per_zone(const std::vector<member>& members) -> std::size_t;
--- a/src/membership/store_readers.cpp
+++ b/src/membership/store_readers.cpp
@@ -7,8 +7,6 @@
 namespace knapweedchute {
 namespace {
 
-/// Readers of each zone in a small fleet.
-constexpr auto small_fleet_readers = std::size_t{3};
 /// Minimum number of readers in a larger fleet, over all its zones.
 constexpr auto min_readers = std::size_t{4};
 
@@ -35,7 +33,7 @@
         }
     }
     if (serving <= max_direct_members) {
-        return small_fleet_readers;
+        return std::max<std::size_t>(serving, 1);
     }
     return (min_readers + zones.size() - 1) / zones.size();
 }
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -1,6 +1,7 @@
 #include "support/manual_timer_queue.hpp"
 
 #include <knapweedchute/feed/feed_subscriber.hpp>
+#include <knapweedchute/membership/store_readers.hpp>
 
 #include <boost/test/unit_test.hpp>
 
@@ -156,11 +157,12 @@
         timers.advance(milliseconds{100});
     }
 
-    /// Adds three store readers to this instance's zone, so that it follows one of them.
+    /// Adds so many instances to this instance's zone that it follows one of them.
     auto add_readers() -> void
     {
-        for (const auto* name : {"r1", "r2", "r3"}) {
-            members.push_back({name, "a", {1, 1}, {}, {}, 1, member_state::alive});
+        for (auto index = std::size_t{1}; index <= max_direct_members; ++index) {
+            members.push_back(
+                {"r" + std::to_string(index), "a", {1, 1}, {}, {}, 1, member_state::alive});
         }
         peer.items = store.items;
         peer.changes = store.changes;
--- a/tests/unit/membership/store_readers_test.cpp
+++ b/tests/unit/membership/store_readers_test.cpp
@@ -54,6 +54,15 @@
     BOOST_TEST(readers() == 9);
 }
 
+BOOST_AUTO_TEST_CASE(store_readers_of_a_small_fleet_in_one_zone_are_all_instances)
+{
+    members.resize(max_direct_members);
+    for (auto& known : members) {
+        known.availability_zone = "a";
+    }
+    BOOST_TEST(readers() == 9);
+}
+
 BOOST_AUTO_TEST_CASE(store_readers_after_the_loss_of_a_reader_are_as_many_as_before)
 {
     members.front().state = member_state::dead;
