Feed: the age of knowledge is added up from the store to the follower

Cause: each wait on the way was reasonable alone: a reader waits 1.5 or 3.5 s and 0.6 s of slack for the store, serves its followers for another second after the first failure, and a follower asks for 1.5 s and 0.5 s more; their sum was above the limit, and nothing measured it. Now one number, the limit of the settings (the least of the limits of configurations, leaving targets and zones), divides into all of them, and one comparison decides: a cache older than two thirds of it is not passed on, waiting followers are told when that age is reached, and a follower leaves a silent peer by its own age. An instance that reads the store itself notices a silent connection after 2.8 s at a limit of 3 s (4.3 before, more than the 4 s after which it counts as in contact again). feed_without_contact_to_the_store_is_not_passed_on_to_peers expected the cache to be served 4 s after the loss, which was the fault; it now expects the opposite, earlier.

--- a/include/knapweedchute/entry/entry_settings.hpp
+++ b/include/knapweedchute/entry/entry_settings.hpp
@@ -26,6 +26,9 @@
     extra_request_limits extras;          ///< Limits of hedges and retries over all instances.
     milliseconds address_lifetime{1'000}; ///< How long callers may cache an address answer.
     milliseconds stop_grace{6'000};       ///< Time from the stop signal until the kill.
+    /// Time within which a change of the store must be in use: the least of the limits of routes,
+    /// leaving targets and excluded zones.
+    milliseconds propagation_limit{3'000};
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <knapweedchute/feed/feed_cache.hpp>
+#include <knapweedchute/feed/feed_limits.hpp>
 #include <knapweedchute/feed/feed_listener.hpp>
 #include <knapweedchute/feed/feed_source.hpp>
 #include <knapweedchute/feed/feed_source_selector.hpp>
@@ -34,18 +35,16 @@
     /// \param listener         Notified of values, deletions and complete key lists.
     /// \param fresh_prefix     Prefix of the keys whose state must not be stale; a full read also
     ///                         reads them separately.
+    /// \param limits           Waits and ages that are allowed.
     feed_subscriber(timer_queue& timers, feed_source& store, peer_source_lookup find_peer_source,
                     member_provider members, member self, feed_listener& listener,
-                    std::string fresh_prefix);
+                    std::string fresh_prefix, feed_limits limits);
 
     /// \brief Starts reading all keys, then follows their changes.
     auto start() -> void { read_all(); }
 
     /// \brief Returns the cache to serve to peers.
-    /// \detail One lost answer of the store is no reason to send all followers elsewhere: the cache
-    ///         stays available for a short time in which the store is called again.
-    ///         A process that was paused does not pass on what was true before the pause.
-    /// \returns The cache; null if it may be behind or this instance follows a peer.
+    /// \returns The cache; null if it is too old or this instance follows a peer.
     [[nodiscard]] auto cache_for_peers() const -> const feed_cache*;
 
     /// \brief Whether keys may be missing because of a recent store disruption.
@@ -60,6 +59,9 @@
     /// \returns The age; nothing before the first answered watch.
     [[nodiscard]] auto age() const -> std::optional<duration>;
 
+    /// \brief Returns how long the cache may still be served to peers without news of the store.
+    [[nodiscard]] auto serving_time_left() const -> duration;
+
     /// \brief Whether changes are read from a peer instead of the store.
     [[nodiscard]] auto follows_peer() const noexcept -> bool { return followed_peer_.has_value(); }
 
@@ -81,6 +83,8 @@
     auto record_age(const feed_page& page) -> void;
     [[nodiscard]] auto age_text() const -> std::string;
     auto schedule_after(duration delay, void (feed_subscriber::*task)()) -> void;
+    [[nodiscard]] auto is_too_old(const feed_page& page) const -> bool;
+    [[nodiscard]] auto watch_wait() const -> milliseconds;
     [[nodiscard]] auto retry_delay() const -> duration;
     [[nodiscard]] auto hold_deadline() const -> std::optional<time_point>;
 
@@ -91,6 +95,7 @@
     member self_;
     feed_listener* listener_;
     std::string fresh_prefix_;
+    feed_limits limits_;
     feed_source_selector selector_;
     feed_cache cache_;
     std::function<void()> on_change_;
@@ -99,8 +104,6 @@
     std::optional<member> followed_peer_;
     std::optional<time_point> last_disruption_;
     std::size_t consecutive_failures_ = 0;
-    time_point failing_since_; ///< First of the consecutive failures.
-    time_point last_contact_;  ///< Latest answer of the source.
     std::optional<time_point> up_to_date_at_; ///< When all changes were last known to be here.
     bool history_lost_ = false;
 };
--- a/include/knapweedchute/feed/peer_feed_source.hpp
+++ b/include/knapweedchute/feed/peer_feed_source.hpp
@@ -10,8 +10,9 @@
 class peer_feed_source final : public feed_source
 {
 public:
+    /// \param watch_margin Time beyond a watch's wait after which the call fails.
     peer_feed_source(boost::asio::io_context& loop, timer_queue& timers, const address& peer,
-                     envelope codec);
+                     envelope codec, duration watch_margin);
 
     auto read(const std::string& prefix, const std::string& after, bool allow_stale, listener done)
         -> void override;
@@ -23,6 +24,7 @@
 
     call_client client_;
     envelope codec_;
+    duration watch_margin_;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -52,6 +52,7 @@
 #include <knapweedchute/feed/feed_cache.hpp>
 #include <knapweedchute/feed/feed_event.hpp>
 #include <knapweedchute/feed/feed_handler.hpp>
+#include <knapweedchute/feed/feed_limits.hpp>
 #include <knapweedchute/feed/feed_listener.hpp>
 #include <knapweedchute/feed/feed_source.hpp>
 #include <knapweedchute/feed/feed_source_selector.hpp>
--- a/include/knapweedchute/membership/store_readers.hpp
+++ b/include/knapweedchute/membership/store_readers.hpp
@@ -30,4 +30,7 @@
 /// \brief Members up to which a fleet is small: every instance reads the store itself.
 inline constexpr auto max_direct_members = std::size_t{9};
 
+/// \brief Whether some instances of the fleet follow others instead of reading the store.
+[[nodiscard]] auto has_followers(const std::vector<member>& members) -> bool;
+
 } // namespace knapweedchute
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -107,7 +107,8 @@
 {
     subscriber_.emplace(
         timers_, store, [this](const auto& peer) -> feed_source& { return peer_feed(peer); },
-        [this] { return peers_.members(); }, peers_.self(), listener, std::move(fresh_prefix));
+        [this] { return peers_.members(); }, peers_.self(), listener, std::move(fresh_prefix),
+        feed_limits{settings_.propagation_limit});
     feed_handler_.set_subscriber(*subscriber_);
     subscriber_->start();
 }
@@ -116,8 +117,9 @@
 {
     auto& source = peer_feeds_[peer.peer_address];
     if (!source) {
-        source = std::make_unique<peer_feed_source>(loop_, timers_, peer.peer_address,
-                                                    make_peer_envelope(settings_));
+        source = std::make_unique<peer_feed_source>(
+            loop_, timers_, peer.peer_address, make_peer_envelope(settings_),
+            feed_limits{settings_.propagation_limit}.peer_margin());
     }
     return *source;
 }
@@ -138,6 +140,7 @@
     compare("admin_address", settings_.admin_address, values.admin_address);
     compare("peer_address", settings_.peer_address, values.peer_address);
     compare("store_address", settings_.store_address, values.store_address);
+    compare("propagation_limit", settings_.propagation_limit, values.propagation_limit);
     compare("processor_share", settings_.processor_permil, values.processor_permil);
     extras_.set_limits(values.extras);
     settings_.extras = values.extras;
--- a/src/entry/entry_settings_reader.cpp
+++ b/src/entry/entry_settings_reader.cpp
@@ -1,9 +1,13 @@
 #include <knapweedchute/entry/entry_settings_reader.hpp>
 
+#include <algorithm>
+
 namespace knapweedchute {
 namespace {
 
 constexpr auto max_period_ms = std::int64_t{600'000};
+/// Shorter limits leave no time for a lost call to the store.
+constexpr auto min_limit_ms = std::int64_t{1'000};
 constexpr auto min_period_s = 0.001;
 constexpr auto max_period_s = 600.0;
 constexpr auto max_cores = 1'024.0;
@@ -35,6 +39,12 @@
     }
     value.address_lifetime = read_milliseconds("address_lifetime_ms");
     value.stop_grace = read_seconds("stop_grace_s");
+    const auto read_limit = [&](std::string_view key) {
+        const auto fallback = entry_settings{}.propagation_limit.count();
+        return milliseconds{reader.integer_or(key, min_limit_ms, max_period_ms, fallback)};
+    };
+    value.propagation_limit = std::min({read_limit("configuration_limit_ms"),
+                                        read_limit("drain_limit_ms"), read_limit("zone_limit_ms")});
     value.extras.window = read_seconds("extra_window_s");
     value.extras.ratio = reader.number("extra_ratio", 0.0, 1.0);
     value.processor_permil =
--- a/src/feed/feed_handler.cpp
+++ b/src/feed/feed_handler.cpp
@@ -1,6 +1,7 @@
 #include <knapweedchute/feed/feed_handler.hpp>
 #include <knapweedchute/relay/refusal_answer.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 #include <vector>
@@ -58,10 +59,11 @@
         std::from_chars(parsed_after.ptr + 1, end, wait_ms);
     }
     wait_ms = std::clamp<std::int64_t>(wait_ms, 0, max_wait_ms);
+    // A peer that waits for changes is told as soon as this cache has become too old.
+    const auto wait = std::min<duration>(milliseconds{wait_ms}, subscriber_->serving_time_left());
     peer.respond = std::move(respond);
     const auto id = next_id_++;
-    peer.timer =
-        timers_->at(timers_->now() + milliseconds{wait_ms}, [this, id] { answer_peer(id, true); });
+    peer.timer = timers_->at(timers_->now() + wait, [this, id] { answer_peer(id, true); });
     waiting_.emplace(id, std::move(peer));
     answer_peer(id, false);
     return waiting_.contains(id) ? id : 0;
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -9,23 +9,12 @@
 namespace knapweedchute {
 namespace {
 
-/// Watch timeout if some instances follow others: a lost connection is detected well within the
-/// three seconds in which a configuration must become active on the followers.
-constexpr auto shared_watch_timeout = milliseconds{1'500};
-/// Watch timeout if no instance follows another: shorter than the time after which a machine whose
-/// connection was silently dead must be in contact again.
-constexpr auto direct_watch_timeout = milliseconds{3'500};
 /// Watch timeout after a failure: short, because a call to an unavailable source hangs until its
 /// timeout.
 constexpr auto probe_watch_timeout = milliseconds{100};
 /// Delay between a watch that returned changes and the next one: changes arrive in bursts, each
 /// call is billed, and one call then returns a complete burst.
 constexpr auto batching_delay = milliseconds{300};
-/// Time after the first failed call during which peers may still follow this instance.
-constexpr auto failure_tolerance = milliseconds{1'000};
-/// Age of the latest answer from which the cache is not passed on: longer than a watch, its margin
-/// and the tolerated failure.
-constexpr auto max_contact_age = direct_watch_timeout + failure_tolerance + milliseconds{1'000};
 constexpr auto base_retry_delay = milliseconds{100};
 constexpr auto max_retry_delay = milliseconds{800};
 /// Entries that expired during a store outage reappear within two seconds of its end.
@@ -38,20 +27,18 @@
 
 feed_subscriber::feed_subscriber(timer_queue& timers, feed_source& store,
                                  peer_source_lookup find_peer_source, member_provider members,
-                                 member self, feed_listener& listener, std::string fresh_prefix)
+                                 member self, feed_listener& listener, std::string fresh_prefix,
+                                 feed_limits limits)
     : timers_{&timers}, store_{&store}, find_peer_source_{std::move(find_peer_source)},
       members_{std::move(members)}, self_{std::move(self)}, listener_{&listener},
-      fresh_prefix_{std::move(fresh_prefix)}
+      fresh_prefix_{std::move(fresh_prefix)}, limits_{limits}
 {
 }
 
 auto feed_subscriber::cache_for_peers() const -> const feed_cache*
 {
-    const auto now = timers_->now();
-    const auto in_contact =
-        (consecutive_failures_ == 0 || now - failing_since_ < failure_tolerance) &&
-        now - last_contact_ < max_contact_age;
-    return cache_.revision() > 0 && in_contact && !followed_peer_ ? &cache_ : nullptr;
+    const auto available = cache_.revision() > 0 && serving_time_left() > duration::zero();
+    return available && !followed_peer_ ? &cache_ : nullptr;
 }
 
 auto feed_subscriber::age() const -> std::optional<duration>
@@ -59,6 +46,11 @@
     return up_to_date_at_ ? std::optional{timers_->now() - *up_to_date_at_} : std::nullopt;
 }
 
+auto feed_subscriber::serving_time_left() const -> duration
+{
+    return limits_.max_age() - age().value_or(limits_.max_age());
+}
+
 auto feed_subscriber::read_all() -> void
 {
     pending_items_.clear();
@@ -75,7 +67,7 @@
 
 auto feed_subscriber::on_page(const std::string& prefix, const feed_reply& reply) -> void
 {
-    if (reply.status != feed_read_status::done) {
+    if (reply.status != feed_read_status::done || is_too_old(reply.page)) {
         record_failure();
         schedule_after(retry_delay(), &feed_subscriber::read_all);
         return;
@@ -130,14 +122,23 @@
 auto feed_subscriber::watch() -> void
 {
     auto& source = select_source();
+    source.watch(cache_.revision(), watch_wait(), [this](const auto& reply) { on_watch(reply); });
+}
+
+auto feed_subscriber::watch_wait() const -> milliseconds
+{
+    const auto known_age = age();
+    if (followed_peer_) {
+        return known_age ? limits_.peer_watch(*known_age) : milliseconds{0};
+    }
     if (consecutive_failures_ > 0) {
-        source.watch(cache_.revision(), probe_watch_timeout,
-                     [this](const auto& reply) { on_watch(reply); });
-        return;
+        return probe_watch_timeout;
     }
-    const auto some_follow_peers = followed_peer_ || members_().size() > max_direct_members;
-    source.watch(cache_.revision(), some_follow_peers ? shared_watch_timeout : direct_watch_timeout,
-                 [this](const auto& reply) { on_watch(reply); });
+    // After a full read, which may be stale, the first watch tells at once what is missing.
+    if (!known_age) {
+        return milliseconds{0};
+    }
+    return has_followers(members_()) ? limits_.shared_watch() : limits_.direct_watch();
 }
 
 auto feed_subscriber::on_watch(const feed_reply& reply) -> void
@@ -148,7 +149,7 @@
         read_all();
         return;
     }
-    if (reply.status != feed_read_status::done) {
+    if (reply.status != feed_read_status::done || is_too_old(reply.page)) {
         record_failure();
         schedule_after(retry_delay(), &feed_subscriber::watch);
         return;
@@ -199,9 +200,6 @@
                           {"from", followed_peer_ ? followed_peer_->instance : "store"},
                           {"age_ms", age_text()}});
     }
-    if (consecutive_failures_ == 0) {
-        failing_since_ = timers_->now();
-    }
     consecutive_failures_ += 1;
     if (followed_peer_) {
         selector_.record_failure(followed_peer_->instance, timers_->now());
@@ -219,12 +217,16 @@
         log_line.info("Source regained.", {{"losses", std::to_string(consecutive_failures_)}});
     }
     consecutive_failures_ = 0;
-    last_contact_ = timers_->now();
     if (recent_disruption) {
         last_disruption_ = timers_->now();
     }
 }
 
+auto feed_subscriber::is_too_old(const feed_page& page) const -> bool
+{
+    return followed_peer_ && milliseconds{page.age_ms} >= limits_.max_age();
+}
+
 auto feed_subscriber::record_age(const feed_page& page) -> void
 {
     up_to_date_at_ = timers_->now() - milliseconds{page.age_ms};
--- a/src/feed/peer_feed_source.cpp
+++ b/src/feed/peer_feed_source.cpp
@@ -7,16 +7,14 @@
 namespace {
 
 constexpr auto read_timeout = milliseconds{1'000};
-/// Time beyond a watch's wait after which the call fails.
-constexpr auto watch_timeout_margin = milliseconds{500};
 constexpr auto status_ok = 200U;
 constexpr auto status_gone = 410U;
 
 } // namespace
 
 peer_feed_source::peer_feed_source(boost::asio::io_context& loop, timer_queue& timers,
-                                   const address& peer, envelope codec)
-    : client_{loop, timers, peer}, codec_{std::move(codec)}
+                                   const address& peer, envelope codec, duration watch_margin)
+    : client_{loop, timers, peer}, codec_{std::move(codec)}, watch_margin_{watch_margin}
 {
 }
 
@@ -29,7 +27,7 @@
 auto peer_feed_source::watch(std::uint64_t after, milliseconds wait, listener done) -> void
 {
     call("/feed/changes?" + std::to_string(after) + "," + std::to_string(wait.count()),
-         wait + watch_timeout_margin, std::move(done));
+         wait + watch_margin_, std::move(done));
 }
 
 auto peer_feed_source::call(const std::string& target, duration timeout, listener done) -> void
--- a/src/membership/store_readers.cpp
+++ b/src/membership/store_readers.cpp
@@ -24,18 +24,23 @@
 
 auto store_readers_per_zone(const std::vector<member>& members) -> std::size_t
 {
+    if (!has_followers(members)) {
+        return max_direct_members;
+    }
     auto zones = std::set<std::string>{};
-    auto serving = std::size_t{0};
     for (const auto& known : members) {
         if (known.serving()) {
             zones.insert(known.availability_zone);
-            serving += 1;
         }
     }
-    if (serving <= max_direct_members) {
-        return std::max<std::size_t>(serving, 1);
-    }
     return (min_readers + zones.size() - 1) / zones.size();
 }
 
+auto has_followers(const std::vector<member>& members) -> bool
+{
+    const auto serving = std::count_if(members.begin(), members.end(),
+                                       [](const auto& known) { return known.serving(); });
+    return static_cast<std::size_t>(serving) > max_direct_members;
+}
+
 } // namespace knapweedchute
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -127,6 +127,9 @@
     const store_contents* contents_;
 };
 
+/// \brief Limits of all instances of a fleet.
+inline constexpr auto feed_fleet_limits = feed_limits{seconds{3}};
+
 /// \brief Connection of one instance to the feed handler of another.
 class peer_link final : public feed_source
 {
@@ -149,14 +152,12 @@
     auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override
     {
         call("/feed/changes?" + std::to_string(after) + "," + std::to_string(wait.count()),
-             wait + watch_margin(), std::move(done));
+             wait + feed_fleet_limits.peer_margin(), std::move(done));
     }
 
     bool silent = false; ///< Whether the peer is paused or the connection to it is dead.
 
 private:
-    [[nodiscard]] static auto watch_margin() -> duration { return milliseconds{500}; }
-
     auto call(const std::string& target, duration timeout, listener done) -> void
     {
         auto pending = feed_call::start(*timers_, timeout, std::move(done));
@@ -200,10 +201,11 @@
                          [this, &fleet](const member& peer) -> feed_source& {
                              return fleet.link(*this, peer);
                          },
-                         [&fleet] { return fleet.members; },
+                         [this, &fleet] { return known.empty() ? fleet.members : known; },
                          self,
                          *this,
-                         ""}
+                         "",
+                         feed_fleet_limits}
         {
             handler.set_subscriber(subscriber);
         }
@@ -228,7 +230,8 @@
         feed_subscriber subscriber;
         std::map<std::string, std::string> values;
         std::map<std::string, std::unique_ptr<peer_link>> links;
-        bool paused = false; ///< Whether peers get no answer from this instance.
+        std::vector<member> known; ///< Members that this instance knows, if not all.
+        bool paused = false;       ///< Whether peers get no answer from this instance.
     };
 
     /// \param zones Availability zone of each instance.
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -152,7 +152,7 @@
     {
         subscriber.emplace(
             timers, store, [this](const member&) -> feed_source& { return peer; },
-            [this] { return members; }, self, listener, "op/");
+            [this] { return members; }, self, listener, "op/", feed_limits{seconds{3}});
         subscriber->start();
         timers.advance(milliseconds{100});
     }
@@ -345,9 +345,9 @@
 {
     start();
     store.lost = true;
-    timers.advance(seconds{4});
+    timers.advance(seconds{3}); // The watch in progress is still answered.
     BOOST_TEST(subscriber->cache_for_peers() != nullptr);
-    timers.advance(seconds{6});
+    timers.advance(seconds{1});
     BOOST_TEST(subscriber->cache_for_peers() == nullptr);
 }
 
--- a/tests/unit/feed/propagation_test.cpp
+++ b/tests/unit/feed/propagation_test.cpp
@@ -84,4 +84,45 @@
     BOOST_TEST((slowest < apply_limit), slowest_case);
 }
 
+BOOST_AUTO_TEST_CASE(
+    change_after_one_reader_paused_and_one_lost_the_store_reaches_followers_in_time)
+{
+    for (auto paused = std::size_t{0}; paused < 4; ++paused) {
+        for (auto lost = std::size_t{0}; lost < 4; ++lost) {
+            play(twelve_in_one_zone, [paused, lost](auto& fleet) {
+                auto affected = cut_from_store(fleet, lost);
+                fleet.pause(*fleet.instances[paused]);
+                affected.push_back(fleet.instances[paused].get());
+                return affected;
+            });
+        }
+    }
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
+BOOST_AUTO_TEST_CASE(change_after_all_readers_lost_the_store_reaches_their_followers_in_time)
+{
+    play(twelve_in_one_zone, [](auto& fleet) {
+        auto affected = std::vector<feed_fleet::instance*>{};
+        for (auto index = std::size_t{0}; index < 4; ++index) {
+            affected.push_back(cut_from_store(fleet, index).front());
+        }
+        return affected;
+    });
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
+BOOST_AUTO_TEST_CASE(
+    change_after_a_reader_that_knows_no_followers_lost_the_store_reaches_them_in_time)
+{
+    for (auto index = std::size_t{0}; index < 4; ++index) {
+        play(twelve_in_one_zone, [index](auto& fleet) {
+            fleet.instances[index]->known = {fleet.members[index]};
+            fleet.timers.advance(seconds{10});
+            return cut_from_store(fleet, index);
+        });
+    }
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
