Feed: a reader that was suspended does not pass on what it knew before

Ages are now measured by the clock that counts suspended time, handed in. feed_after_a_suspension_is_not_passed_on_to_peers failed before (the cache was served).

--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -28,6 +28,9 @@
     /// \brief Returns the source that reads from a peer.
     using peer_source_lookup = std::function<feed_source&(const member&)>;
 
+    /// \brief Returns the time since the machine started, with the time that it was suspended.
+    using uptime_clock = std::function<duration()>;
+
     /// \param store            The platform's store.
     /// \param find_peer_source Returns the source for a peer.
     /// \param members          Returns the current members.
@@ -36,9 +39,10 @@
     /// \param fresh_prefix     Prefix of the keys whose state must not be stale; a full read also
     ///                         reads them separately.
     /// \param limits           Waits and ages that are allowed.
+    /// \param uptime           Clock of ages; a suspension makes knowledge older.
     feed_subscriber(timer_queue& timers, feed_source& store, peer_source_lookup find_peer_source,
                     member_provider members, member self, feed_listener& listener,
-                    std::string fresh_prefix, feed_limits limits);
+                    std::string fresh_prefix, feed_limits limits, uptime_clock uptime);
 
     /// \brief Starts reading all keys, then follows their changes.
     auto start() -> void { read_all(); }
@@ -96,6 +100,7 @@
     feed_listener* listener_;
     std::string fresh_prefix_;
     feed_limits limits_;
+    uptime_clock uptime_;
     feed_source_selector selector_;
     feed_cache cache_;
     std::function<void()> on_change_;
@@ -104,7 +109,7 @@
     std::optional<member> followed_peer_;
     std::optional<time_point> last_disruption_;
     std::size_t consecutive_failures_ = 0;
-    std::optional<time_point> up_to_date_at_; ///< When all changes were last known to be here.
+    std::optional<duration> up_to_date_at_; ///< When all changes were last known to be here.
     bool history_lost_ = false;
 };
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -108,7 +108,7 @@
     subscriber_.emplace(
         timers_, store, [this](const auto& peer) -> feed_source& { return peer_feed(peer); },
         [this] { return peers_.members(); }, peers_.self(), listener, std::move(fresh_prefix),
-        feed_limits{settings_.propagation_limit});
+        feed_limits{settings_.propagation_limit}, boot_time);
     feed_handler_.set_subscriber(*subscriber_);
     subscriber_->start();
 }
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -28,10 +28,10 @@
 feed_subscriber::feed_subscriber(timer_queue& timers, feed_source& store,
                                  peer_source_lookup find_peer_source, member_provider members,
                                  member self, feed_listener& listener, std::string fresh_prefix,
-                                 feed_limits limits)
+                                 feed_limits limits, uptime_clock uptime)
     : timers_{&timers}, store_{&store}, find_peer_source_{std::move(find_peer_source)},
       members_{std::move(members)}, self_{std::move(self)}, listener_{&listener},
-      fresh_prefix_{std::move(fresh_prefix)}, limits_{limits}
+      fresh_prefix_{std::move(fresh_prefix)}, limits_{limits}, uptime_{std::move(uptime)}
 {
 }
 
@@ -43,7 +43,7 @@
 
 auto feed_subscriber::age() const -> std::optional<duration>
 {
-    return up_to_date_at_ ? std::optional{timers_->now() - *up_to_date_at_} : std::nullopt;
+    return up_to_date_at_ ? std::optional{uptime_() - *up_to_date_at_} : std::nullopt;
 }
 
 auto feed_subscriber::serving_time_left() const -> duration
@@ -229,7 +229,7 @@
 
 auto feed_subscriber::record_age(const feed_page& page) -> void
 {
-    up_to_date_at_ = timers_->now() - milliseconds{page.age_ms};
+    up_to_date_at_ = uptime_() - milliseconds{page.age_ms};
 }
 
 auto feed_subscriber::age_text() const -> std::string
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -205,7 +205,8 @@
                          self,
                          *this,
                          "",
-                         feed_fleet_limits}
+                         feed_fleet_limits,
+                         [&fleet] { return fleet.timers.now().time_since_epoch(); }}
         {
             handler.set_subscriber(subscriber);
         }
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -139,6 +139,7 @@
     std::vector<member> members;
     member self{"z", "a", {9, 9}, {}, {}, 1, member_state::alive};
     std::optional<feed_subscriber> subscriber;
+    duration suspended{0}; ///< Time that the clock of the timers did not count.
 
     feed_fixture()
     {
@@ -152,7 +153,8 @@
     {
         subscriber.emplace(
             timers, store, [this](const member&) -> feed_source& { return peer; },
-            [this] { return members; }, self, listener, "op/", feed_limits{seconds{3}});
+            [this] { return members; }, self, listener, "op/", feed_limits{seconds{3}},
+            [this] { return timers.now().time_since_epoch() + suspended; });
         subscriber->start();
         timers.advance(milliseconds{100});
     }
@@ -351,4 +353,12 @@
     BOOST_TEST(subscriber->cache_for_peers() == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(feed_after_a_suspension_is_not_passed_on_to_peers)
+{
+    start();
+    BOOST_TEST(subscriber->cache_for_peers() != nullptr);
+    suspended = seconds{10};
+    BOOST_TEST(subscriber->cache_for_peers() == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
