--- a/tests/unit/net/target_connection_test.cpp
+++ b/tests/unit/net/target_connection_test.cpp
@@ -82,10 +82,8 @@
         auto order = exchange_order{nullptr, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "r1", true, true};
         order.max_answer_bytes = endless_limit;
         connection->open({loopback_ip, acceptor.local_endpoint().port()}, std::move(order),
-                         [this](auto ended) {
-                             result = std::move(ended);
-                             loop.stop();
-                         });
+                         [this](auto ended) { result = std::move(ended); });
+        // Ends when the connection is closed: nothing else keeps the loop busy.
         loop.run_for(seconds{10});
         was_closed = connection->closed();
         connection->close();
@@ -333,4 +331,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answer_that_ends_at_any_byte_before_its_end_is_not_an_answer)
+{
+    for (const auto& framing : {"Content-Length: 6\r\n\r\nabcdef",
+                                "Transfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n\r\n"}) {
+        const auto whole = std::string{"HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n"} + framing;
+        for (auto length = std::size_t{0}; length < whole.size(); ++length) {
+            const auto& ended = send_request(whole.substr(0, length));
+            BOOST_TEST((ended.status == exchange_status::broken), "after " << length << " bytes");
+            loop.restart();
+        }
+        BOOST_TEST((send_request(whole).status == exchange_status::answered));
+        loop.restart();
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
