A number that no double holds is a fault of its entry, not the end of the process

What callers saw, at other operators: the machines that read the list of leafs ended again and again. Here: the JSON library reports such a number (1e999) with another type of exception than a syntax error, parse_json caught only the latter, and the exception left the event loop: the process ended, and again after each start, since the entry is still there. Evidence: target_entry_that_no_target_wrote_is_left_out_and_the_others_are_used failed with that exception (1e999, -1e999); entries nested 200,000 deep, ports of 65,536 and more and numbers beyond 64 bits were already left out. Every reader of documents goes through parse_json, so settings, configurations, orders and messages of the product's own interface are covered; 1e999 joins the numbers of the codec fuzz test.

--- a/src/config/object_reader.cpp
+++ b/src/config/object_reader.cpp
@@ -16,6 +16,10 @@
     } catch (const nlohmann::json::parse_error& thrown) {
         reason = {error_code::malformed, "byte " + std::to_string(thrown.byte), "not valid JSON"};
         return std::nullopt;
+    } catch (const nlohmann::json::exception& thrown) {
+        // A number that no double holds.
+        reason = {error_code::invalid_value, {}, thrown.what()};
+        return std::nullopt;
     }
 }
 
--- a/tests/unit/platform/codec_fuzz_test.cpp
+++ b/tests/unit/platform/codec_fuzz_test.cpp
@@ -33,6 +33,8 @@
 const auto odd_numbers = std::vector<std::string>{"-1",
                                                   "0",
                                                   "1e300",
+                                                  "1e999",
+                                                  "99999999999999999999999",
                                                   "9223372036854775807",
                                                   "-9223372036854775808",
                                                   "18446744073709551615",
--- a/tests/unit/platform/view_feed_test.cpp
+++ b/tests/unit/platform/view_feed_test.cpp
@@ -61,4 +61,34 @@
     BOOST_TEST((write(rollout_result::running).find("running") != std::string::npos));
 }
 
+BOOST_AUTO_TEST_CASE(target_entry_that_no_target_wrote_is_left_out_and_the_others_are_used)
+{
+    const auto entry = [](const std::string& port, const std::string& extra) {
+        return R"({"service":"s","address":"10.0.0.1:)" + port +
+               R"(","zone":"a","version":"v1","slots":2,"state":"ready","coldRemainingMs":0)" +
+               extra + "}";
+    };
+    const auto deep = std::string(200'000, '[') + std::string(200'000, ']');
+    const auto odd = std::vector<std::string>{
+        entry("80", R"(,"sequence":1e999)"),
+        entry("80", R"(,"born":-1e999)"),
+        entry("80", R"(,"born":18446744073709551615)"),
+        entry("80", R"(,"born":99999999999999999999999)"),
+        entry("65536", ""),
+        entry("99999999999999999999", ""),
+        entry("0", ""),
+        entry("80", ",\"more\":" + std::string(200'000, '[')),
+        std::string(200'000, '['),
+        deep,
+    };
+    for (const auto& text : odd) {
+        BOOST_CHECK_NO_THROW(feed.on_value({"servers/odd", text, 2, false}));
+        BOOST_TEST(view.targets().size() == 0U);
+    }
+    BOOST_CHECK_NO_THROW(
+        feed.on_value({"servers/deep", entry("80", ",\"more\":" + deep), 2, false}));
+    feed.on_value({"servers/good", entry("80", ""), 3, false});
+    BOOST_TEST(view.targets().usable("s").size() >= 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
