An answer that ends in its head is no answer, over libcurl as well

What callers saw, at other operators: a 200 with an empty body when a leaf stopped in the middle of its answer's head. Here: libcurl reports success if the connection ends after the status line, so a run of the product's own interface was answered 200 with an empty body, and a read of the store counted as answered. The empty line after the head is now required; the end of such a run is unknown, as for a reset, and is not repeated.

--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -1,3 +1,5 @@
+#include "head_end_detector.hpp"
+
 #include <knapweedchute/runtime/http_client.hpp>
 
 #include <curl/curl.h>
@@ -33,6 +35,8 @@
     auto* handle = handle_.get();
     curl_easy_reset(handle);
     auto response = http_response{};
+    auto head = impl::head_end_detector{};
+    head.attach(handle);
     auto* header_list = static_cast<curl_slist*>(nullptr);
     for (const auto& line : request.headers) {
         header_list = curl_slist_append(header_list, line.c_str());
@@ -57,6 +61,10 @@
                   curl_easy_strerror(result)};
         return std::nullopt;
     }
+    if (!head.complete()) {
+        reason = {error_code::outcome_unknown, request.url, "the answer ended in its head"};
+        return std::nullopt;
+    }
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &response.status);
     return response;
 }
--- a/src/runtime/transfer_worker.cpp
+++ b/src/runtime/transfer_worker.cpp
@@ -1,3 +1,5 @@
+#include "head_end_detector.hpp"
+
 #include <knapweedchute/runtime/transfer_worker.hpp>
 
 #include <curl/curl.h>
@@ -33,6 +35,7 @@
     transfer_key key = 0;
     CURL* handle = nullptr;
     std::string request_body;
+    impl::head_end_detector head;
     transfer_result result;
     transfer_worker::completion done;
 };
@@ -48,10 +51,11 @@
     return bytes;
 }
 
-auto status_of(CURLcode code, CURL* handle) -> transfer_status
+auto status_of(CURLcode code, const transfer& ended) -> transfer_status
 {
+    auto* handle = ended.handle;
     if (code == CURLE_OK) {
-        return transfer_status::answered;
+        return ended.head.complete() ? transfer_status::answered : transfer_status::broken;
     }
     auto sent_bytes = 0L;
     auto connect_time_us = curl_off_t{0};
@@ -243,6 +247,7 @@
         curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
         curl_easy_setopt(handle, CURLOPT_PRIVATE, &item);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &item);
+        item.head.attach(handle);
         const auto timeout = std::max<std::int64_t>(request.timeout.count(), 1);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout));
         if (item.request_body.empty()) {
@@ -271,7 +276,7 @@
             auto connects = 0L;
             curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &connects);
             curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &item->result.http_status);
-            item->result.status = status_of(code, handle);
+            item->result.status = status_of(code, *item);
             item->result.reused_connection = connects == 0;
             curl_multi_remove_handle(multi_, handle);
             release_handle(handle);
