A stopping instance rejects what would not end within its grace

Here: until the last moment of the grace a request was passed on, whatever time it needed, and answered 502 at the end, so the outcome of one that must not be repeated stayed unknown; what was read within the 20 ms between that and the end of the loop would have got no answer. request_too_late_in_the_grace_is_refused_as_not_run_and_not_passed_on failed: 502, and the target had seen it. A request that is not expected to end before the end (its goal, three times that if it must not run twice) is now rejected at once as not run, with no wait, since other instances serve; the loop ends once the last answers are written, within 300 ms of the 700 ms before the kill. The product's own daemon was not looked at: open.

--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -82,6 +82,7 @@
     auto update_member_counts() -> void;
     auto record_loop_lag(time_point due) -> void;
     auto finish_stop(time_point deadline) -> void;
+    auto end_loop(time_point limit) -> void;
     [[nodiscard]] auto peer_feed(const member& peer) -> feed_source&;
     [[nodiscard]] auto limit_share() const -> double;
     [[nodiscard]] auto connection_share(const target_record& target) const -> std::size_t;
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -65,6 +65,10 @@
     /// \brief Cancels a request whose caller has disconnected, without an answer.
     auto cancel(call_id id) -> void;
 
+    /// \brief Rejects requests from now on that are not expected to end before a time.
+    /// \param end Time at which `fail_all` will be called.
+    auto stop_at(time_point end) noexcept -> void { stop_at_ = end; }
+
     /// \brief Ends every request in progress with the answer that its state allows.
     /// \detail An answer says "not run" only if no target can have run the request.
     auto fail_all() -> void;
@@ -103,6 +107,7 @@
 
     auto schedule(const shared_call& call, time_point when, call_handler handler) -> timer_id;
     auto admit(const shared_call& call) -> void;
+    [[nodiscard]] auto fits_before_stop(const call_state& call, time_point now) const -> bool;
     auto begin(const shared_call& call) -> void;
     auto reject(const shared_call& call, std::string_view reason, const admission_verdict& verdict)
         -> void;
@@ -161,6 +166,7 @@
     relay_metrics metrics_;
     std::unordered_map<call_id, shared_call> calls_;
     std::set<std::tuple<int, time_point, call_id, std::size_t>> waiting_;
+    std::optional<time_point> stop_at_; ///< End of a graceful stop, once one has begun.
     time_point created_at_;
     call_id next_call_ = 1;
     bool admitting_ = false; ///< Whether `admit_waiting` is running.
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -34,6 +34,8 @@
 constexpr auto cold_state_retention = seconds{60};
 /// Admission state of services without requests is kept this long.
 constexpr auto admission_state_retention = seconds{60};
+/// Time within the stop margin in which the last answers are written.
+constexpr auto flush_limit = milliseconds{300};
 constexpr auto stop_poll_interval = milliseconds{20};
 /// The recorded maximum lag of the event loop decays to about a third in this time.
 constexpr auto lag_decay_time = std::chrono::duration<double>(10.0);
@@ -162,6 +164,7 @@
     peers_.announce(member_state::leaving);
     caller_listener_.close_after_answers();
     const auto deadline = timers_.now() + settings_.stop_grace - stop_margin;
+    coordinator_.stop_at(deadline);
     const auto addresses_expire_at =
         timers_.now() + settings_.address_lifetime * address_retention_lifetimes;
     timers_.at(std::min(addresses_expire_at, deadline - finish_margin),
@@ -181,7 +184,18 @@
     peers_.announce(member_state::left);
     log_line.info("Stopped.", {{"in_progress", std::to_string(coordinator_.in_progress())}});
     coordinator_.fail_all();
-    timers_.at(timers_.now() + stop_poll_interval, [this] { loop_.stop(); });
+    end_loop(timers_.now() + flush_limit);
+}
+
+auto entry_instance::end_loop(time_point limit) -> void
+{
+    timers_.at(timers_.now() + stop_poll_interval, [this, limit] {
+        if (caller_listener_.active_sessions() > 0 && timers_.now() < limit) {
+            end_loop(limit);
+        } else {
+            loop_.stop();
+        }
+    });
 }
 
 auto entry_instance::run_maintenance() -> void
--- a/src/relay/relay_start.cpp
+++ b/src/relay/relay_start.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr auto status_not_found = 404U;
+/// Latency goals reserved before the end of a stop for a request that must not run twice: cut
+/// there, its outcome would stay unknown to the caller.
+constexpr auto at_most_once_reserve = 3;
 
 auto path_of(const std::string& target) -> std::string_view
 {
@@ -73,6 +76,10 @@
         reject(call, "too little time left", {});
         return;
     }
+    if (!fits_before_stop(*call, now)) {
+        reject(call, "stopping", {});
+        return;
+    }
     if (call->admission.slots <= 0.0) {
         reject(call, "no target can take the request", {});
         return;
@@ -91,6 +98,13 @@
     call->wait_timer = schedule(call, now + verdict.max_wait, &relay_coordinator::on_wait_end);
 }
 
+auto relay_coordinator::fits_before_stop(const call_state& call, time_point now) const -> bool
+{
+    const auto& matched = *call.matched_route;
+    const auto reserve = matched.latency_goal * (matched.idempotent ? 1 : at_most_once_reserve);
+    return !stop_at_ || now + std::min<duration>(reserve, call.deadline - now) <= *stop_at_;
+}
+
 auto relay_coordinator::begin(const shared_call& call) -> void
 {
     timers_->cancel(std::exchange(call->wait_timer, 0));
@@ -114,9 +128,11 @@
                                const admission_verdict& verdict) -> void
 {
     const auto now = timers_->now();
-    const auto wait = call->admission.slots > 0.0
-                          ? admission_.retry_after(call->admission, now)
-                          : admission_.retry_after_outage(call->admission, now);
+    auto wait = duration::zero(); // Another instance can serve a caller of one that stops.
+    if (fits_before_stop(*call, now)) {
+        wait = call->admission.slots > 0.0 ? admission_.retry_after(call->admission, now)
+                                           : admission_.retry_after_outage(call->admission, now);
+    }
     call->shed = true;
     counters_->add(counter::queries_shed);
     log_.on_reject(*call, reason, verdict, wait, now);
