A target that says in an answer that it leaves gets no more requests

The announcement is kept for the lifetime it names, also while its entry is away during an outage of the store; another start under the same id is another target.

--- a/include/knapweedchute/relay/header_names.hpp
+++ b/include/knapweedchute/relay/header_names.hpp
@@ -15,6 +15,7 @@
     std::string proof;           ///< Proof that a target issues for its answer.
     std::string proofs;          ///< Proofs of all parts in a query's answer.
     std::string missing;         ///< Number of shards missing from a query's answer.
+    std::string leaving = {};    ///< Present in the answers of a target that is shutting down.
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/target/target_registry.hpp
+++ b/include/knapweedchute/target/target_registry.hpp
@@ -46,6 +46,12 @@
     /// \param start_unix_ms Lifetime that was addressed; ignored unless it is the known one.
     auto mark_stale(const std::string& id, std::int64_t start_unix_ms) -> void;
 
+    /// \brief Excludes a target that announced its shutdown in an answer.
+    /// \detail Its lifetime stays excluded even if its entry is removed and added again; a record
+    /// with
+    ///         another start time is another target.
+    auto mark_leaving(const target_record& target, time_point now) -> void;
+
     /// \brief Removes the targets whose hold period has ended.
     auto expire(time_point now) -> void;
 
@@ -86,6 +92,13 @@
         bool stale = false;
     };
 
+    /// \brief A lifetime that announced its shutdown.
+    struct leaving_lifetime
+    {
+        std::int64_t start_unix_ms = 0;
+        time_point announced;
+    };
+
     /// \brief Targets of one service, with a cache of the usable ones.
     struct service_targets
     {
@@ -96,8 +109,10 @@
 
     auto remove_from_service(const entry& known) -> void;
     auto invalidate_usable() -> void;
+    [[nodiscard]] auto is_leaving(const target_record& record) const -> bool;
 
     std::map<std::string, entry> entries_;
+    std::map<std::string, leaving_lifetime> leaving_;
     std::unordered_map<std::string, service_targets> by_service_;
     std::set<std::string> excluded_zones_;
     std::map<std::string, version_rule> version_rules_;
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -191,6 +191,9 @@
     if (result.status == exchange_status::wrong_target) {
         registry_->mark_stale(target->id, target->start_unix_ms);
     }
+    if (!names_.leaving.empty() && find_field(result.answer.fields, names_.leaving) != nullptr) {
+        registry_->mark_leaving(*target, timers_->now());
+    }
     auto& part = call->parts[index];
     part.open_exchanges.erase(exchange);
     if (!useful) {
--- a/src/target/target_registry.cpp
+++ b/src/target/target_registry.cpp
@@ -9,6 +9,8 @@
 // The end of a warm-up is computed from the time at which the entry is received, so a varying delay
 // moves it although the entry is unchanged.
 constexpr auto warm_up_tolerance = milliseconds{500};
+/// Time for which an announced shutdown is remembered although the target has no entry.
+constexpr auto leaving_retention = std::chrono::minutes{10};
 
 auto is_unchanged(const target_record& known, target_record received) -> bool
 {
@@ -81,8 +83,25 @@
     }
 }
 
+auto target_registry::mark_leaving(const target_record& target, time_point now) -> void
+{
+    if (!is_leaving(target)) {
+        leaving_[target.id] = {target.start_unix_ms, now};
+        by_service_[target.service].usable_valid = false;
+    }
+}
+
+auto target_registry::is_leaving(const target_record& record) const -> bool
+{
+    const auto known = leaving_.find(record.id);
+    return known != leaving_.end() && known->second.start_unix_ms == record.start_unix_ms;
+}
+
 auto target_registry::expire(time_point now) -> void
 {
+    std::erase_if(leaving_, [&](const auto& item) {
+        return !entries_.contains(item.first) && now - item.second.announced > leaving_retention;
+    });
     auto expired = std::vector<std::string>{};
     for (const auto& [id, known] : entries_) {
         if (known.hold_until && now >= *known.hold_until) {
@@ -148,7 +167,7 @@
     return known != entries_.end() && !known->second.stale &&
            known->second.record->start_unix_ms == record.start_unix_ms &&
            known->second.record->service == record.service && !known->second.record->draining &&
-           !excluded_zones_.contains(record.availability_zone);
+           !is_leaving(record) && !excluded_zones_.contains(record.availability_zone);
 }
 
 auto target_registry::remove_from_service(const entry& known) -> void
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-const auto names = header_names{"Id", "Wait", "Only", "Not-Run", "Proof", "Proofs", "Missing"};
+const auto names =
+    header_names{"Id", "Wait", "Only", "Not-Run", "Proof", "Proofs", "Missing", "Leaving"};
 
 auto answer_with(unsigned status, field_list fields, std::string body) -> exchange_result
 {
@@ -491,4 +492,33 @@
     BOOST_TEST(answers.back().status == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(target_whose_answer_says_that_it_leaves_gets_no_more_requests)
+{
+    port.answer = [](const auto& order) {
+        auto reply = reply_to(order);
+        if (order.target->id == "one-x") {
+            reply.result.answer.fields.push_back({"Leaving", "1"});
+        }
+        return reply;
+    };
+    const auto request_until_x_was_asked = [&] {
+        for (auto index = 0; index < 50; ++index) {
+            start_request("/one/a");
+            timers.advance(milliseconds{20});
+        }
+    };
+    request_until_x_was_asked();
+    BOOST_TEST(port.sent_to("one-x") == 1U);
+    // The entry is removed during an outage of the store and comes back unchanged.
+    registry.remove("one-x", std::nullopt);
+    registry.expire(timers.now());
+    add_target("one-x", "one");
+    request_until_x_was_asked();
+    BOOST_TEST(port.sent_to("one-x") == 1U);
+    // A later start under the same id is another target.
+    registry.insert_or_update({"one-x", "one", {}, "a", "v1", 2, 2, false, {}});
+    request_until_x_was_asked();
+    BOOST_TEST(port.sent_to("one-x") == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
