A target that answers 503 with Retry-After is left alone until then

Until now the answer only made the target look slow, so with its replica full all requests went on to it. target_that_answers_503_with_retry_ after_gets_no_request_until_then failed before (more than one request in 1.4 of 1.5 s). A request whose targets all pause waits if a pause ends within its time, and fails at once as not run if none does (request_whose_targets_all_pause_..., failed before: sent on).

--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -127,6 +127,7 @@
 #include <knapweedchute/relay/request_encoder.hpp>
 #include <knapweedchute/relay/request_log.hpp>
 #include <knapweedchute/relay/route_latency.hpp>
+#include <knapweedchute/relay/target_backoff.hpp>
 #include <knapweedchute/relay/target_selector.hpp>
 #include <knapweedchute/relay/timer_queue.hpp>
 #include <knapweedchute/rollout/evidence_row.hpp>
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -77,7 +77,7 @@
     auto retry_waiting() -> void;
 
     /// \brief Removes the load records of targets that have left.
-    auto remove_unknown() -> void { selector_.remove_unknown(); }
+    auto remove_unknown() -> void { selector_.remove_unused(timers_->now()); }
 
     /// \brief Removes the admission state of services that were not used since `oldest`.
     auto remove_unused_groups(time_point oldest) -> void { admission_.remove_unused(oldest); }
--- /dev/null
+++ b/include/knapweedchute/relay/target_backoff.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <knapweedchute/core/time.hpp>
+#include <knapweedchute/relay/relayed_answer.hpp>
+#include <knapweedchute/target/target_record.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace knapweedchute {
+
+/// \brief Remembers which targets asked not to be sent anything for some time.
+class target_backoff
+{
+public:
+    /// \brief Records an answer: a 503 with `Retry-After` in seconds starts or extends a pause.
+    auto on_answer(const target_record& target, const relayed_answer& answer, time_point now)
+        -> void;
+
+    /// \brief Returns the end of a target's pause, or nothing if it may be sent requests.
+    [[nodiscard]] auto end(const target_record& target, time_point now) const
+        -> std::optional<time_point>;
+
+    /// \brief Removes the pauses that have ended.
+    auto remove_ended(time_point now) -> void;
+
+private:
+    struct pause
+    {
+        std::int64_t start_unix_ms = 0; ///< Lifetime of the target that asked for it.
+        time_point end;
+    };
+
+    std::unordered_map<std::string, pause> pauses_;
+};
+
+} // namespace knapweedchute
--- a/include/knapweedchute/relay/target_selector.hpp
+++ b/include/knapweedchute/relay/target_selector.hpp
@@ -5,10 +5,12 @@
 #include <knapweedchute/relay/exchange_port.hpp>
 #include <knapweedchute/relay/relay_policy.hpp>
 #include <knapweedchute/relay/replica_load.hpp>
+#include <knapweedchute/relay/target_backoff.hpp>
 #include <knapweedchute/target/target_registry.hpp>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -22,6 +24,7 @@
     std::shared_ptr<const target_record> target; ///< Selected target; null if none can be used.
     double cost = 0.0;                           ///< Expected latency, multiple of typical latency.
     bool at_capacity = false;                    ///< Usable targets exist, none has capacity.
+    std::optional<time_point> pause_end; ///< Earliest end of a pause that a target asked for.
 };
 
 /// \brief Selects the target of a service with the lowest expected latency.
@@ -48,8 +51,11 @@
     /// \brief Returns the load of a target; creates it if needed.
     [[nodiscard]] auto load(const std::string& target_id) -> replica_load&;
 
-    /// \brief Removes targets that have left.
-    auto remove_unknown() -> void;
+    /// \brief Pauses that targets have asked for; no request is sent to them meanwhile.
+    [[nodiscard]] auto backoff() noexcept -> target_backoff& { return backoff_; }
+
+    /// \brief Removes the loads of targets that have left and the pauses that have ended.
+    auto remove_unused(time_point now) -> void;
 
 private:
     /// \brief Versions from which a target is selected.
@@ -73,6 +79,7 @@
     const exchange_port* port_;
     const cold_limiter* cold_;
     std::mt19937_64 random_;
+    target_backoff backoff_;
     std::unordered_map<std::string, replica_load> loads_;
     std::unordered_map<std::string, version_split> splits_;
 };
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -97,7 +97,11 @@
     if (!part.open_exchanges.empty()) {
         return;
     }
-    if (selected.at_capacity) {
+    // A pause that ends in time is waited for; one that does not fails the part at once.
+    const auto typical_latency = route_latency_.typical(*call->matched_route);
+    const auto pause_ends_in_time =
+        selected.pause_end && *selected.pause_end + typical_latency < call->deadline;
+    if (selected.at_capacity || pause_ends_in_time) {
         // A waiting part is dispatched at each end of an exchange; one step says that it waits.
         if (part.steps.empty() || part.steps.back().step != trace_step::wait) {
             record_step(*call, index, trace_step::wait, selected);
@@ -191,6 +195,7 @@
     if (result.status == exchange_status::wrong_target) {
         registry_->mark_stale(target->id, target->start_unix_ms);
     }
+    selector_.backoff().on_answer(*target, result.answer, timers_->now());
     if (!names_.leaving.empty() && find_field(result.answer.fields, names_.leaving) != nullptr) {
         registry_->mark_leaving(*target, timers_->now());
     }
--- a/src/relay/target_selector.cpp
+++ b/src/relay/target_selector.cpp
@@ -53,6 +53,10 @@
         if (excluded || std::find(tried.begin(), tried.end(), target->id) != tried.end()) {
             continue;
         }
+        if (const auto pause_end = backoff_.end(*target, now)) {
+            best.pause_end = std::min(best.pause_end.value_or(*pause_end), *pause_end);
+            continue;
+        }
         const auto capacity = cold_->capacity(*target, now);
         if (capacity != target_capacity::now || !port_->has_capacity(*target)) {
             best.at_capacity = best.at_capacity || capacity != target_capacity::none;
@@ -72,8 +76,9 @@
     return loads_[target_id];
 }
 
-auto target_selector::remove_unknown() -> void
+auto target_selector::remove_unused(time_point now) -> void
 {
+    backoff_.remove_ended(now);
     std::erase_if(loads_, [this](const auto& item) {
         return item.second.in_flight() == 0 && !registry_->contains(item.first);
     });
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -521,4 +521,65 @@
     BOOST_TEST(port.sent_to("one-x") == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(target_that_answers_503_with_retry_after_gets_no_request_until_then)
+{
+    port.full.insert("one-y");
+    auto rejecting = true;
+    port.answer = [&rejecting](const auto& order) {
+        if (rejecting && order.target->id == "one-x") {
+            auto result = answer_with(503, {{"Retry-After", "1.5"}, {"Not-Run", "1"}}, "");
+            result.status = exchange_status::not_run;
+            return fake_reply{milliseconds{1}, result};
+        }
+        return reply_to(order);
+    };
+    const auto request_for = [&](duration time) {
+        for (const auto end = timers.now() + time; timers.now() < end;) {
+            start_request("/one/a");
+            timers.advance(milliseconds{20});
+        }
+    };
+    request_for(milliseconds{1'400});
+    BOOST_TEST(port.sent_to("one-x") == 1U);
+    rejecting = false;
+    request_for(seconds{1});
+    BOOST_TEST(port.sent_to("one-x") > 1U);
+}
+
+BOOST_AUTO_TEST_CASE(request_whose_targets_all_pause_waits_if_a_pause_ends_in_time)
+{
+    auto seconds_to_wait = std::string{"0.4"};
+    auto rejecting = true;
+    port.answer = [&](const auto& order) {
+        if (rejecting) {
+            auto result = answer_with(503, {{"Retry-After", seconds_to_wait}}, "");
+            result.status = exchange_status::not_run;
+            return fake_reply{milliseconds{1}, result};
+        }
+        return reply_to(order);
+    };
+    start_request("/one/a", false);
+    timers.advance(milliseconds{50});
+    rejecting = false;
+    const auto asked = port.sent.size();
+    answers.clear();
+    start_request("/one/a", false);
+    timers.advance(milliseconds{300});
+    BOOST_TEST(answers.empty());
+    BOOST_TEST(port.sent.size() == asked);
+    timers.advance(milliseconds{200});
+    coordinator.retry_waiting();
+    timers.advance(milliseconds{50});
+    BOOST_TEST(single_answer().status == 200U);
+    // A pause beyond the time that is left fails at once, as not run.
+    rejecting = true;
+    seconds_to_wait = "30";
+    start_request("/one/a", false);
+    timers.advance(milliseconds{50});
+    answers.clear();
+    start_request("/one/a", false);
+    timers.advance(milliseconds{1});
+    BOOST_TEST(single_answer().status == 503U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
