--- a/include/knapweedchute/feed/feed_limits.hpp
+++ b/include/knapweedchute/feed/feed_limits.hpp
@@ -30,8 +30,7 @@
         return propagation_ * 2 / 3;
     }
 
-    /// \brief Age from which knowledge is not passed on: leaves time for one lost call to the
-    /// store.
+    /// \brief Age from which knowledge is not passed on; one lost call to the store fits in.
     [[nodiscard]] constexpr auto max_age() const noexcept -> milliseconds
     {
         return propagation_ * 2 / 3;
--- a/include/knapweedchute/membership/store_readers.hpp
+++ b/include/knapweedchute/membership/store_readers.hpp
@@ -19,10 +19,9 @@
                                    std::size_t count) -> bool;
 
 /// \brief Returns how many instances of each availability zone read the store.
-/// \detail All of them in a small fleet, where each learns a change without a detour. In a larger
-/// one
-///         few enough that the calls do not grow with the fleet, and enough that the loss of one
-///         reader leaves others.
+/// \detail All of a small fleet, where each learns a change without a detour. In a larger one, few
+///         enough that the calls do not grow with the fleet, and enough that the loss of one leaves
+///         others.
 /// \param members Known instances.
 /// \returns Readers per availability zone, at least 1.
 [[nodiscard]] auto store_readers_per_zone(const std::vector<member>& members) -> std::size_t;
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -123,6 +123,8 @@
     auto on_exchange_end(const shared_call& call, std::size_t index, time_point sent_at,
                          exchange_id exchange, const std::shared_ptr<const target_record>& target,
                          exchange_result result) -> void;
+    /// Records what a target says of itself: that it leaves, or wants a pause.
+    auto record_announcements(const target_record& target, const relayed_answer& answer) -> void;
     auto on_failure(const shared_call& call, std::size_t index, const exchange_result& result)
         -> void;
     [[nodiscard]] auto may_begin_round(const call_state& call, const part_state& part,
--- a/include/knapweedchute/target/target_registry.hpp
+++ b/include/knapweedchute/target/target_registry.hpp
@@ -47,9 +47,8 @@
     auto mark_stale(const std::string& id, std::int64_t start_unix_ms) -> void;
 
     /// \brief Excludes a target that announced its shutdown in an answer.
-    /// \detail Its lifetime stays excluded even if its entry is removed and added again; a record
-    /// with
-    ///         another start time is another target.
+    /// \detail Its lifetime stays excluded even if its entry is removed and added again. A record
+    ///         with another start time is another target.
     auto mark_leaving(const target_record& target, time_point now) -> void;
 
     /// \brief Removes the targets whose hold period has ended.
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -194,10 +194,8 @@
     record_exchange(*call, *target, sent_at, result);
     if (result.status == exchange_status::wrong_target) {
         registry_->mark_stale(target->id, target->start_unix_ms);
-    }
-    selector_.backoff().on_answer(*target, result.answer, timers_->now());
-    if (!names_.leaving.empty() && find_field(result.answer.fields, names_.leaving) != nullptr) {
-        registry_->mark_leaving(*target, timers_->now());
+    } else {
+        record_announcements(*target, result.answer);
     }
     auto& part = call->parts[index];
     part.open_exchanges.erase(exchange);
@@ -226,6 +224,16 @@
     }
 }
 
+auto relay_coordinator::record_announcements(const target_record& target,
+                                             const relayed_answer& answer) -> void
+{
+    const auto now = timers_->now();
+    selector_.backoff().on_answer(target, answer, now);
+    if (!names_.leaving.empty() && find_field(answer.fields, names_.leaving) != nullptr) {
+        registry_->mark_leaving(target, now);
+    }
+}
+
 auto relay_coordinator::on_failure(const shared_call& call, std::size_t index,
                                    const exchange_result& result) -> void
 {
