Test: a change after all connections to the store went silent is in use in time

The shorter wait of instances that read the store themselves had been mended without a test that fails first.

--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -80,7 +80,7 @@
         answer(feed_call::start(*timers_, seconds{1}, std::move(done)), reply);
     }
 
-    auto renew_connections() -> void override {}
+    auto renew_connections() -> void override { dead = false; }
 
     auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override
     {
@@ -90,6 +90,7 @@
     }
 
     bool cut = false;      ///< Nothing reaches the store or comes back.
+    bool dead = false;     ///< The kept connection is silent; a new one works.
     std::size_t calls = 0; ///< Watches begun.
 
 private:
@@ -108,7 +109,7 @@
             return;
         }
         timers_->at(timers_->now() + answer_time, [this, call, after, end] {
-            if (!cut) {
+            if (!cut && !dead) {
                 poll(call, after, end);
             }
         });
@@ -117,7 +118,7 @@
     auto answer(const std::shared_ptr<feed_call>& call, const feed_reply& reply) -> void
     {
         timers_->at(timers_->now() + answer_time, [this, call, reply] {
-            if (!cut) {
+            if (!cut && !dead) {
                 call->finish(reply);
             }
         });
--- a/tests/unit/feed/propagation_test.cpp
+++ b/tests/unit/feed/propagation_test.cpp
@@ -125,4 +125,17 @@
     BOOST_TEST((slowest < apply_limit), slowest_case);
 }
 
+BOOST_AUTO_TEST_CASE(change_after_all_connections_to_the_store_went_silent_is_in_use_in_time)
+{
+    for (const auto& zones : {nine_in_three_zones, twelve_in_one_zone}) {
+        play(zones, [](auto& fleet) {
+            for (const auto& reader : fleet.instances) {
+                reader->store.dead = true;
+            }
+            return std::vector<feed_fleet::instance*>{};
+        });
+    }
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
