An instance tells that a peer has a newer configuration

Change: datagrams state the sender's configuration version already and nobody read it. The first one with a version newer than the own one is logged with the source and the age of what is known; config_behind_seconds counts until the version is in force. No decision depends on it.

--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -11,6 +11,7 @@
 #include <knapweedchute/feed/feed_subscriber.hpp>
 #include <knapweedchute/feed/peer_feed_source.hpp>
 #include <knapweedchute/membership/address_selector.hpp>
+#include <knapweedchute/membership/configuration_lag.hpp>
 #include <knapweedchute/membership/ownership.hpp>
 #include <knapweedchute/membership/renewed_knowledge.hpp>
 #include <knapweedchute/net/asio_timer_queue.hpp>
@@ -81,6 +82,8 @@
     auto run_maintenance() -> void;
     auto update_member_counts() -> void;
     auto record_loop_lag(time_point due) -> void;
+    auto record_peer_configuration(const std::string& peer, std::uint64_t version) -> void;
+    [[nodiscard]] auto configuration_version() const -> std::uint64_t;
     auto finish_stop(time_point deadline) -> void;
     auto end_loop(time_point limit) -> void;
     [[nodiscard]] auto peer_feed(const member& peer) -> feed_source&;
@@ -118,6 +121,7 @@
     caller_listener feed_listener_;
     std::map<address, std::unique_ptr<peer_feed_source>> peer_feeds_;
     std::optional<feed_subscriber> subscriber_;
+    configuration_lag configuration_lag_;
     std::size_t instance_count_ = 1;
     ownership ownership_{{}}; ///< Over all members that have not left, dead ones included.
     std::size_t preferred_count_ = 0;
--- a/include/knapweedchute/net/peer_port.hpp
+++ b/include/knapweedchute/net/peer_port.hpp
@@ -8,7 +8,9 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <cstdint>
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace knapweedchute {
@@ -48,6 +50,13 @@
         evidence_listener_ = std::move(listener);
     }
 
+    /// \brief Sets the listener for the configuration versions that peers have in force.
+    auto on_configuration(
+        std::function<void(const std::string& instance, std::uint64_t version)> listener) -> void
+    {
+        configuration_listener_ = std::move(listener);
+    }
+
     [[nodiscard]] auto members() const -> std::vector<member> { return membership_.members(); }
     [[nodiscard]] auto self() const -> const member& { return membership_.self(); }
 
@@ -65,6 +74,7 @@
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 2'048> input_{};
     std::function<void(const std::vector<evidence_row>&)> evidence_listener_;
+    std::function<void(const std::string&, std::uint64_t)> configuration_listener_;
 };
 
 } // namespace knapweedchute
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -112,9 +112,31 @@
         [this] { return peers_.members(); }, peers_.self(), listener, std::move(fresh_prefix),
         feed_limits{settings_.propagation_limit}, boot_time);
     feed_handler_.set_subscriber(*subscriber_);
+    peers_.on_configuration(
+        [this](const auto& peer, auto version) { record_peer_configuration(peer, version); });
     subscriber_->start();
 }
 
+auto entry_instance::configuration_version() const -> std::uint64_t
+{
+    return view_.table() ? view_.table()->version() : 0;
+}
+
+auto entry_instance::record_peer_configuration(const std::string& peer, std::uint64_t version)
+    -> void
+{
+    if (!configuration_lag_.record(version, configuration_version(), timers_.now())) {
+        return;
+    }
+    const auto age = subscriber_->age();
+    log_line.info("Peer has a newer configuration.",
+                  {{"peer", peer},
+                   {"version", std::to_string(version)},
+                   {"own", std::to_string(configuration_version())},
+                   {"follows_peer", subscriber_->follows_peer() ? "true" : "false"},
+                   {"age_ms", age ? std::to_string(*age / milliseconds{1}) : "unknown"}});
+}
+
 auto entry_instance::peer_feed(const member& peer) -> feed_source&
 {
     auto& source = peer_feeds_[peer.peer_address];
--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -50,6 +50,8 @@
     text += gauge_text("config_version", "", table ? static_cast<double>(table->version()) : 0.0);
     text += gauge_text("config_in_force_seconds", "",
                        table ? seconds_of(now - view_.adopted_at()) : 0.0);
+    text += gauge_text("config_behind_seconds", "",
+                       seconds_of(configuration_lag_.behind_for(configuration_version(), now)));
     const auto age = subscriber_ ? subscriber_->age() : std::nullopt;
     text += gauge_text("feed_age_seconds", "", age ? seconds_of(*age) : -1.0);
     text += gauge_text("feed_follows_peer", "", subscriber_ && subscriber_->follows_peer() ? 1 : 0);
--- a/src/net/peer_port.cpp
+++ b/src/net/peer_port.cpp
@@ -86,6 +86,9 @@
     if (!message->evidence.empty() && evidence_listener_) {
         evidence_listener_(message->evidence);
     }
+    if (configuration_listener_) {
+        configuration_listener_(message->from.instance, message->config_version);
+    }
     send(membership_.receive(*message, timers_->now()));
 }
 
