--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "support/manual_timer_queue.hpp"
+#include "support/pausable_timer_queue.hpp"
 
 #include <knapweedchute/feed/feed_handler.hpp>
 #include <knapweedchute/feed/feed_subscriber.hpp>
 
+#include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -62,8 +65,10 @@
     static constexpr auto answer_time = milliseconds{4};
     static constexpr auto timeout_margin = milliseconds{600};
 
-    store_link(timer_queue& timers, const store_contents& contents)
-        : timers_{&timers}, contents_{&contents}
+    /// \param network  Timers of the network and the store.
+    /// \param instance Timers of the instance that calls.
+    store_link(timer_queue& network, timer_queue& instance, const store_contents& contents)
+        : network_{&network}, instance_{&instance}, contents_{&contents}
     {
     }
 
@@ -77,7 +82,7 @@
                 reply.page.events.push_back(item);
             }
         }
-        answer(feed_call::start(*timers_, seconds{1}, std::move(done)), reply);
+        answer(feed_call::start(*instance_, seconds{1}, std::move(done)), reply);
     }
 
     auto renew_connections() -> void override { dead = false; }
@@ -85,11 +90,26 @@
     auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override
     {
         calls += 1;
-        auto call = feed_call::start(*timers_, wait + timeout_margin, std::move(done));
-        poll(call, after, timers_->now() + wait);
+        auto call = feed_call::start(*instance_, wait + timeout_margin, std::move(done));
+        waiting_ = call;
+        if (refused) {
+            answer(call, {});
+        } else if (!cut && !dead) {
+            poll(call, after, network_->now() + wait);
+        }
+    }
+
+    /// \brief Refuses the calls that wait and those to come.
+    auto refuse() -> void
+    {
+        refused = true;
+        if (const auto waiting = waiting_.lock()) {
+            answer(waiting, {});
+        }
     }
 
     bool cut = false;      ///< Nothing reaches the store or comes back.
+    bool refused = false;  ///< The store answers that it does not serve this instance.
     bool dead = false;     ///< The kept connection is silent; a new one works.
     std::size_t calls = 0; ///< Watches begun.
 
@@ -104,11 +124,11 @@
                 reply.page.events.push_back(change);
             }
         }
-        if (!reply.page.events.empty() || timers_->now() >= end) {
+        if (!reply.page.events.empty() || network_->now() >= end) {
             answer(call, reply);
             return;
         }
-        timers_->at(timers_->now() + answer_time, [this, call, after, end] {
+        network_->at(network_->now() + answer_time, [this, call, after, end] {
             if (!cut && !dead) {
                 poll(call, after, end);
             }
@@ -117,15 +137,17 @@
 
     auto answer(const std::shared_ptr<feed_call>& call, const feed_reply& reply) -> void
     {
-        timers_->at(timers_->now() + answer_time, [this, call, reply] {
+        network_->at(network_->now() + answer_time, [this, call, reply] {
             if (!cut && !dead) {
-                call->finish(reply);
+                instance_->at(network_->now(), [call, reply] { call->finish(reply); });
             }
         });
     }
 
-    timer_queue* timers_;
+    timer_queue* network_;
+    timer_queue* instance_;
     const store_contents* contents_;
+    std::weak_ptr<feed_call> waiting_;
 };
 
 /// \brief Limits of all instances of a fleet.
@@ -137,8 +159,13 @@
 public:
     static constexpr auto answer_time = milliseconds{2};
 
-    peer_link(timer_queue& timers, feed_handler& handler, const envelope& codec)
-        : timers_{&timers}, handler_{&handler}, codec_{&codec}
+    /// \param caller Timers of the instance that calls.
+    /// \param peer   Timers of the instance that is called.
+    /// \param reachable Whether messages pass now.
+    peer_link(timer_queue& caller, timer_queue& peer, feed_handler& handler, const envelope& codec,
+              std::function<bool()> reachable)
+        : caller_{&caller}, peer_{&peer}, handler_{&handler}, codec_{&codec}, reachable_{std::move(
+                                                                                  reachable)}
     {
     }
 
@@ -156,35 +183,46 @@
              wait + feed_fleet_limits.peer_margin(), std::move(done));
     }
 
-    bool silent = false; ///< Whether the peer is paused or the connection to it is dead.
-
 private:
     auto call(const std::string& target, duration timeout, listener done) -> void
     {
-        auto pending = feed_call::start(*timers_, timeout, std::move(done));
-        if (silent) {
+        auto pending = feed_call::start(*caller_, timeout, std::move(done));
+        if (!reachable_()) {
             return;
         }
-        auto request = relayed_request{};
-        request.target = target;
-        handler_->handle(std::move(request), [this, pending](const relayed_answer& answer) {
-            constexpr auto status_ok = 200U;
-            auto reason = error{};
-            const auto page = answer.status == status_ok
-                                  ? codec_->decode<feed_page>(answer.body, reason)
-                                  : std::nullopt;
-            const auto reply = page ? feed_reply{feed_read_status::done, *page} : feed_reply{};
-            timers_->at(timers_->now() + answer_time, [this, pending, reply] {
-                if (!silent) {
-                    pending->finish(reply);
-                }
+        peer_->at(peer_->now() + answer_time / 2, [this, target, pending] {
+            auto request = relayed_request{};
+            request.target = target;
+            handler_->handle(std::move(request), [this, pending](const relayed_answer& answer) {
+                caller_->at(caller_->now() + answer_time / 2,
+                            [this, pending, reply = decode(answer)] {
+                                if (reachable_()) {
+                                    pending->finish(reply);
+                                }
+                            });
             });
         });
     }
 
-    timer_queue* timers_;
+    [[nodiscard]] auto decode(const relayed_answer& answer) const -> feed_reply
+    {
+        constexpr auto status_ok = 200U;
+        constexpr auto status_gone = 410U;
+        if (answer.status == status_gone) {
+            return {feed_read_status::history_expired, {}};
+        }
+        auto reason = error{};
+        const auto page = answer.status == status_ok
+                              ? codec_->decode<feed_page>(answer.body, reason)
+                              : std::nullopt;
+        return page ? feed_reply{feed_read_status::done, *page} : feed_reply{};
+    }
+
+    timer_queue* caller_;
+    timer_queue* peer_;
     feed_handler* handler_;
     const envelope* codec_;
+    std::function<bool()> reachable_;
 };
 
 /// \brief Instances that read one store or follow each other, in virtual time.
@@ -195,9 +233,9 @@
     struct instance final : feed_listener
     {
         instance(feed_fleet& fleet, member identity)
-            : self{std::move(identity)}, store{fleet.timers, fleet.contents}, handler{fleet.timers,
-                                                                                      fleet.codec},
-              subscriber{fleet.timers,
+            : self{std::move(identity)}, timers{fleet.timers},
+              store{fleet.timers, timers, fleet.contents}, handler{timers, fleet.codec},
+              subscriber{timers,
                          store,
                          [this, &fleet](const member& peer) -> feed_source& {
                              return fleet.link(*this, peer);
@@ -214,7 +252,11 @@
 
         auto on_value(const feed_event& state) -> bool override
         {
-            return std::exchange(values[state.key], state.value) != state.value;
+            const auto changed = std::exchange(values[state.key], state.value) != state.value;
+            if (changed && on_new_value) {
+                on_new_value(state);
+            }
+            return changed;
         }
         auto on_deletion(const std::string& key, std::optional<time_point> /*hold_until*/)
             -> void override
@@ -227,27 +269,30 @@
         }
 
         member self;
+        pausable_timer_queue timers;
         store_link store;
         feed_handler handler;
         feed_subscriber subscriber;
         std::map<std::string, std::string> values;
         std::map<std::string, std::unique_ptr<peer_link>> links;
         std::vector<member> known; ///< Members that this instance knows, if not all.
-        bool paused = false;       ///< Whether peers get no answer from this instance.
+        std::function<void(const feed_event&)> on_new_value; ///< Called when a value has changed.
     };
 
-    /// \param zones Availability zone of each instance.
-    explicit feed_fleet(const std::vector<std::string>& zones)
+    /// \param zones   Availability zone of each instance.
+    /// \param joining Instances, the last ones, that do not serve before `join_all`.
+    explicit feed_fleet(const std::vector<std::string>& zones, std::size_t joining = 0)
     {
         for (const auto& zone : zones) {
             const auto index = static_cast<std::uint16_t>(members.size());
-            members.push_back({"i" + std::to_string(10 + index),
-                               zone,
-                               {index, 1},
-                               {},
-                               {},
-                               0,
-                               member_state::alive});
+            members.push_back(
+                {"i" + std::to_string(10 + index),
+                 zone,
+                 {index, 1},
+                 {},
+                 {},
+                 0,
+                 index + joining < zones.size() ? member_state::alive : member_state::joining});
         }
         contents.write("op/config", "old");
         for (const auto& known : members) {
@@ -270,18 +315,18 @@
         return timers.now() - start;
     }
 
-    /// \brief Stops an instance from answering its peers.
-    auto pause(instance& paused) -> void
+    /// \brief Makes all instances serve.
+    auto join_all() -> void
     {
-        paused.paused = true;
-        for (const auto& other : instances) {
-            if (const auto link = other->links.find(paused.self.instance);
-                link != other->links.end()) {
-                link->second->silent = true;
-            }
+        for (auto& known : members) {
+            known.state = member_state::alive;
         }
     }
 
+    /// Whether messages pass between two instances, by index.
+    std::function<bool(std::size_t from, std::size_t to)> reachable = [](auto, auto) {
+        return true;
+    };
     manual_timer_queue timers;
     store_contents contents;
     envelope codec{"test", message_key{"0123456789abcdef"}};
@@ -293,15 +338,23 @@
     {
         auto& link = from.links[peer.instance];
         if (!link) {
-            for (const auto& other : instances) {
-                if (other->self.instance == peer.instance) {
-                    link = std::make_unique<peer_link>(timers, other->handler, codec);
-                    link->silent = other->paused;
-                }
-            }
+            auto& called = *instances[index_of(peer)];
+            link = std::make_unique<peer_link>(
+                from.timers, called.timers, called.handler, codec,
+                [this, caller = index_of(from.self), peer = index_of(peer)] {
+                    return reachable(caller, peer);
+                });
         }
         return *link;
     }
+
+    [[nodiscard]] auto index_of(const member& known) const -> std::size_t
+    {
+        const auto place = std::find_if(members.begin(), members.end(), [&](const auto& candidate) {
+            return candidate.instance == known.instance;
+        });
+        return static_cast<std::size_t>(place - members.begin());
+    }
 };
 
 } // namespace knapweedchute::test
--- /dev/null
+++ b/tests/support/propagation_search_main.cpp
@@ -0,0 +1,50 @@
+// Plays drawn schedules of changes and faults in virtual time and prints those that are too slow.
+#include "support/propagation_schedule.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <cstdint>
+#include <iostream>
+
+using namespace knapweedchute;
+using namespace knapweedchute::test;
+
+auto main(int argc, char** argv) -> int
+{
+    auto app = CLI::App{"Searches schedules in which a change is in use too late."};
+    auto first = std::uint64_t{1};
+    auto last = std::uint64_t{200};
+    auto max_faults = 3;
+    auto limit_ms = 3'000;
+    app.add_option("--first", first, "first seed")->capture_default_str();
+    app.add_option("--last", last, "last seed")->capture_default_str();
+    app.add_option("--faults", max_faults, "largest number of faults in a schedule")
+        ->capture_default_str()
+        ->check(CLI::Range(1, 20));
+    app.add_option("--limit-ms", limit_ms, "time within which a change must be in use")
+        ->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+
+    constexpr auto observed_limit = seconds{6};
+    auto slowest = duration{0};
+    auto late = std::size_t{0};
+    for (auto seed = first; seed <= last; ++seed) {
+        const auto drawn = draw_schedule(seed, max_faults);
+        const auto delay =
+            schedule_player{drawn.zones, drawn.joining}.play(drawn.steps, observed_limit);
+        slowest = std::max(slowest, delay.time);
+        if (delay.time < milliseconds{limit_ms}) {
+            continue;
+        }
+        late += 1;
+        std::cout << "seed " << seed << ": " << drawn.zones.size() << " instances, "
+                  << delay.instance << " after " << delay.time / milliseconds{1} << " ms:";
+        for (const auto& step : drawn.steps) {
+            std::cout << " " << step;
+        }
+        std::cout << std::endl;
+    }
+    std::cout << last - first + 1 << " schedules, " << late << " too late, slowest "
+              << slowest / milliseconds{1} << " ms" << std::endl;
+    return late == 0 ? 0 : 1;
+}
--- a/tests/unit/feed/propagation_test.cpp
+++ b/tests/unit/feed/propagation_test.cpp
@@ -15,6 +15,9 @@
 /// Covers each phase of a reader's watch.
 constexpr auto phase_step = milliseconds{150};
 constexpr auto max_phase = milliseconds{4'500};
+/// Time from the begin of a reader's pause until it loses the store, and from there to its end.
+constexpr auto pause_before_loss = milliseconds{1'100};
+constexpr auto pause_after_loss = milliseconds{1'300};
 
 const auto nine_in_three_zones =
     std::vector<std::string>{"a", "a", "a", "a", "b", "b", "b", "c", "c"};
@@ -91,7 +94,7 @@
         for (auto lost = std::size_t{0}; lost < 4; ++lost) {
             play(twelve_in_one_zone, [paused, lost](auto& fleet) {
                 auto affected = cut_from_store(fleet, lost);
-                fleet.pause(*fleet.instances[paused]);
+                fleet.instances[paused]->timers.pause();
                 affected.push_back(fleet.instances[paused].get());
                 return affected;
             });
@@ -138,4 +141,39 @@
     BOOST_TEST((slowest < apply_limit), slowest_case);
 }
 
+BOOST_AUTO_TEST_CASE(change_right_after_another_on_connections_that_went_silent_is_in_use_in_time)
+{
+    for (const auto& zones : {nine_in_three_zones, twelve_in_one_zone}) {
+        play(zones, [](auto& fleet) {
+            fleet.contents.write("op/config", "earlier");
+            fleet.timers.advance(milliseconds{20});
+            for (const auto& reader : fleet.instances) {
+                reader->store.dead = true;
+            }
+            return std::vector<feed_fleet::instance*>{};
+        });
+    }
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
+BOOST_AUTO_TEST_CASE(change_is_in_use_in_time_though_a_reader_was_paused_while_it_lost_the_store)
+{
+    for (auto paused = std::size_t{0}; paused < 4; ++paused) {
+        for (auto lost = std::size_t{0}; lost < 4; ++lost) {
+            play(twelve_in_one_zone, [paused, lost](auto& fleet) {
+                auto& reader = *fleet.instances[paused];
+                reader.timers.pause();
+                fleet.timers.advance(pause_before_loss);
+                auto affected = cut_from_store(fleet, paused);
+                fleet.timers.at(fleet.timers.now() + pause_after_loss,
+                                [&reader] { reader.timers.resume(); });
+                fleet.reachable = [lost](auto from, auto to) { return from != lost && to != lost; };
+                affected.push_back(fleet.instances[lost].get());
+                return affected;
+            });
+        }
+    }
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
