The wait of a watch ends at an age, so that delays before it do not add to the bound

Cause: the watch waited 2,000 ms from its own start, and it starts up to 300 ms after the answer from which the age counts: 300 + 2,000 + 600 of margin + 200 of delay = 3,100 ms, bound 3,000. The margin of 600 ms was a constant beside the limits, too long for a bound below three seconds. Change: the wait ends when what is known reaches max_age, for the store as for peers, and the margin is a fifth of the limit (600 ms at three seconds, as before).

--- a/daemons/knapweedchute_entryd.cpp
+++ b/daemons/knapweedchute_entryd.cpp
@@ -7,6 +7,7 @@
 #include <knapweedchute/entry/entry_instance.hpp>
 #include <knapweedchute/entry/entry_settings_reader.hpp>
 #include <knapweedchute/entry/settings_follower.hpp>
+#include <knapweedchute/feed/feed_limits.hpp>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -47,7 +48,8 @@
         return knapweedchute::daemon::exit_not_started;
     }
     auto store = platform::store_client{instance.loop(), instance.timers(), values.store_address,
-                                        instance.counters()};
+                                        instance.counters(),
+                                        feed_limits{values.propagation_limit}.store_margin()};
     auto listener = platform::view_feed{instance.timers(), store, instance.view(), instance.peers(),
                                         instance.peers().self()};
     instance.start_rollouts(listener);
--- a/include/knapweedchute/feed/feed_limits.hpp
+++ b/include/knapweedchute/feed/feed_limits.hpp
@@ -11,7 +11,8 @@
 /// \detail All are fractions of the time within which a change must be in use at instances that are
 ///         in contact with the store, so that their sum stays below it whichever source is lost:
 ///         a follower leaves a reader whose knowledge is too old or that is silent, tries a second
-///         one and then the store.
+///         one and then the store. Waits end at an age and not after a time of their own, so that
+///         delays between two calls do not add to them.
 class feed_limits
 {
 public:
@@ -19,15 +20,23 @@
     explicit constexpr feed_limits(milliseconds propagation) noexcept : propagation_{propagation} {}
 
     /// \brief Wait of a watch of the store while other instances follow this one.
-    [[nodiscard]] constexpr auto shared_watch() const noexcept -> milliseconds
+    /// \param age Age of what is known; the wait ends with `max_age`.
+    [[nodiscard]] constexpr auto shared_watch(duration age) const noexcept -> milliseconds
     {
-        return propagation_ / 3;
+        return std::min(propagation_ / 3, remaining(age));
     }
 
     /// \brief Wait of a watch of the store while nobody follows this instance.
-    [[nodiscard]] constexpr auto direct_watch() const noexcept -> milliseconds
+    /// \param age Age of what is known; the wait ends with `max_age`.
+    [[nodiscard]] constexpr auto direct_watch(duration age) const noexcept -> milliseconds
     {
-        return propagation_ * 2 / 3;
+        return remaining(age);
+    }
+
+    /// \brief Time after a watch's wait from which a connection to the store is considered silent.
+    [[nodiscard]] constexpr auto store_margin() const noexcept -> milliseconds
+    {
+        return propagation_ / 5;
     }
 
     /// \brief Age from which knowledge is not passed on; one lost call to the store fits in.
@@ -46,13 +55,17 @@
     /// \param age Age of what the follower knows.
     [[nodiscard]] constexpr auto peer_watch(duration age) const noexcept -> milliseconds
     {
-        const auto remaining = std::chrono::floor<milliseconds>(max_age() - age);
-        return std::clamp(remaining, milliseconds{0}, shared_watch());
+        return std::min(propagation_ / 3, remaining(age));
     }
 
     [[nodiscard]] auto operator==(const feed_limits&) const -> bool = default;
 
 private:
+    [[nodiscard]] constexpr auto remaining(duration age) const noexcept -> milliseconds
+    {
+        return std::max(std::chrono::floor<milliseconds>(max_age() - age), milliseconds{0});
+    }
+
     milliseconds propagation_;
 };
 
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -138,7 +138,8 @@
     if (!known_age) {
         return milliseconds{0};
     }
-    return has_followers(members_()) ? limits_.shared_watch() : limits_.direct_watch();
+    return has_followers(members_()) ? limits_.shared_watch(*known_age)
+                                     : limits_.direct_watch(*known_age);
 }
 
 auto feed_subscriber::on_watch(const feed_reply& reply) -> void
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -63,7 +63,7 @@
 {
 public:
     static constexpr auto answer_time = milliseconds{4};
-    static constexpr auto timeout_margin = milliseconds{600};
+    static constexpr auto timeout_margin = feed_limits{seconds{3}}.store_margin();
 
     /// \param network  Timers of the network and the store.
     /// \param instance Timers of the instance that calls.
--- a/tests/support/propagation_schedule.cpp
+++ b/tests/support/propagation_schedule.cpp
@@ -14,9 +14,8 @@
 constexpr auto check_interval = milliseconds{10};
 constexpr auto config_key = "op/config";
 
-constexpr auto kind_names =
-    std::array{"change",  "other", "lose_store", "refuse",
-               "silence", "pause", "lose_peers", "join_members"};
+constexpr auto kind_names = std::array{"change",  "other", "lose_store", "refuse",
+                                       "silence", "pause", "lose_peers", "join_members"};
 
 /// One play: applies the steps and observes the instances.
 class schedule_run
@@ -90,7 +89,8 @@
         case step_kind::lose_peers:
             lost_[step.instance % lost_.size()] += 1;
             fleet_.reachable = [this](auto from, auto to) { return lost_[from] + lost_[to] == 0; };
-            after(step.duration, [this, index = step.instance % lost_.size()] { lost_[index] -= 1; });
+            after(step.duration,
+                  [this, index = step.instance % lost_.size()] { lost_[index] -= 1; });
             break;
         case step_kind::join_members:
             fleet_.join_all();
@@ -166,8 +166,8 @@
     auto drawn = drawn_schedule{zones, joining, {}};
     const auto first_change = draw(5'000, 9'000);
     const auto add = [&](int at, step_kind kind, int instance, int length) {
-        drawn.steps.push_back({milliseconds{at}, kind, static_cast<std::size_t>(instance),
-                               milliseconds{length}});
+        drawn.steps.push_back(
+            {milliseconds{at}, kind, static_cast<std::size_t>(instance), milliseconds{length}});
     };
     auto at = first_change;
     for (auto count = draw(1, 3); count > 0; --count) {
@@ -178,8 +178,8 @@
         add(first_change + draw(-1'500, 3'500), step_kind::other, 0, 0);
     }
     for (auto count = draw(1, max_faults); count > 0; --count) {
-        const auto kind = static_cast<step_kind>(draw(static_cast<int>(step_kind::lose_store),
-                                                      static_cast<int>(step_kind::lose_peers)));
+        const auto kind = static_cast<step_kind>(
+            draw(static_cast<int>(step_kind::lose_store), static_cast<int>(step_kind::lose_peers)));
         const auto begin = first_change + draw(-4'500, 2'500);
         const auto instance = draw(0, static_cast<int>(zones.size()) - 1);
         add(begin, kind, instance, draw(0, 1) == 0 ? draw(200, 1'500) : draw(1'500, 6'000));
--- a/tests/support/propagation_schedule.hpp
+++ b/tests/support/propagation_schedule.hpp
@@ -26,10 +26,10 @@
 /// \brief One step of a schedule.
 struct schedule_step
 {
-    milliseconds at{0};         ///< Time from the start of the schedule.
-    step_kind kind{};           ///< What it does.
-    std::size_t instance = 0;   ///< Index of the instance, where one is meant.
-    milliseconds duration{0};   ///< Time after which it ends, where it does.
+    milliseconds at{0};       ///< Time from the start of the schedule.
+    step_kind kind{};         ///< What it does.
+    std::size_t instance = 0; ///< Index of the instance, where one is meant.
+    milliseconds duration{0}; ///< Time after which it ends, where it does.
 
     [[nodiscard]] auto operator==(const schedule_step&) const -> bool = default;
 };
--- a/tests/unit/platform/view_feed_test.cpp
+++ b/tests/unit/platform/view_feed_test.cpp
@@ -22,7 +22,7 @@
     caller_listener listener{loop, store, timers, names};
     address where{test::loopback_ip, test::free_port()};
     counter_set counters;
-    platform::store_client client{loop, timers, where, counters};
+    platform::store_client client{loop, timers, where, counters, milliseconds{600}};
     cluster_view view{1};
     member self{"i1", "a", {1, 1}, {1, 2}, {1, 3}, 1, member_state::alive};
     peer_port peers{loop, timers, self, {}, envelope{"test", message_key{"0123456789abcdef"}}};
