An answer that was held up proves no more than when it can have been sent

Cause: the age of knowledge counted from the moment at which an answer was read. A reader that was paused found the answer of a watch that had ended long before in its socket, took it for new, and passed on its knowledge with an age of zero; cut off from the store meanwhile, it did so for two more seconds. Change: an answer that is read after the watch's wait has passed counts from the end of the wait if it is empty, and from the start of the watch if it has changes. Not covered: an answer with changes that is held up for less than the wait (at most a third of the limit while others follow).

--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -84,6 +84,7 @@
     auto select_source() -> feed_source&;
     auto record_failure() -> void;
     auto record_contact(bool recent_disruption) -> void;
+    auto begin_call(milliseconds wait) -> void;
     auto record_age(const feed_page& page) -> void;
     [[nodiscard]] auto age_text() const -> std::string;
     auto schedule_after(duration delay, void (feed_subscriber::*task)()) -> void;
@@ -110,6 +111,8 @@
     std::optional<time_point> last_disruption_;
     std::size_t consecutive_failures_ = 0;
     std::optional<duration> up_to_date_at_; ///< When all changes were last known to be here.
+    duration call_began_at_{0};             ///< Start of the latest call, by the clock of ages.
+    milliseconds call_wait_{0};             ///< Time after which the source answers it in any case.
     bool history_lost_ = false;
 };
 
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -61,6 +61,7 @@
 auto feed_subscriber::read_page(const std::string& prefix, const std::string& after) -> void
 {
     const auto allow_stale = prefix.empty() && !history_lost_;
+    begin_call(milliseconds{0});
     select_source().read(prefix, after, allow_stale,
                          [this, prefix](const auto& reply) { on_page(prefix, reply); });
 }
@@ -122,7 +123,9 @@
 auto feed_subscriber::watch() -> void
 {
     auto& source = select_source();
-    source.watch(cache_.revision(), watch_wait(), [this](const auto& reply) { on_watch(reply); });
+    const auto wait = watch_wait();
+    begin_call(wait);
+    source.watch(cache_.revision(), wait, [this](const auto& reply) { on_watch(reply); });
 }
 
 auto feed_subscriber::watch_wait() const -> milliseconds
@@ -228,9 +231,20 @@
     return followed_peer_ && milliseconds{page.age_ms} >= limits_.max_age();
 }
 
+auto feed_subscriber::begin_call(milliseconds wait) -> void
+{
+    call_began_at_ = uptime_();
+    call_wait_ = wait;
+}
+
 auto feed_subscriber::record_age(const feed_page& page) -> void
 {
-    up_to_date_at_ = uptime_() - milliseconds{page.age_ms};
+    // An answer may have been held up, by a pause of this process for example; then it proves only
+    // what it says of the latest moment at which the source can have sent it.
+    const auto latest = call_began_at_ + call_wait_;
+    const auto held_up = uptime_() > latest;
+    const auto proved_at = held_up ? (page.events.empty() ? latest : call_began_at_) : uptime_();
+    up_to_date_at_ = proved_at - milliseconds{page.age_ms};
 }
 
 auto feed_subscriber::age_text() const -> std::string
