A source that has not told a change that peers know is suspected and replaced

Cause: an instance learned only from its source that its source is behind. Change: datagrams state the configuration version of each instance already. When peers have had a newer one for a fifth of the limit, the watch in progress is ended; what follows is the way of any failed call: another connection, another peer, the store. For one version the next suspicions come after twice the time before, in case it cannot be read here. No datagram and no call is added while sources are sound. The bound without this holds as before, so a partition from the peers costs nothing.

--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -121,7 +121,7 @@
     caller_listener feed_listener_;
     std::map<address, std::unique_ptr<peer_feed_source>> peer_feeds_;
     std::optional<feed_subscriber> subscriber_;
-    configuration_lag configuration_lag_;
+    configuration_lag configuration_lag_{feed_limits{settings_.propagation_limit}.patience()};
     std::size_t instance_count_ = 1;
     ownership ownership_{{}}; ///< Over all members that have not left, dead ones included.
     std::size_t preferred_count_ = 0;
--- a/include/knapweedchute/feed/feed_limits.hpp
+++ b/include/knapweedchute/feed/feed_limits.hpp
@@ -51,6 +51,13 @@
         return propagation_ * 2 / 15;
     }
 
+    /// \brief Time for which peers may have a newer configuration before the source is suspected;
+    ///        longer than a change takes on its usual way.
+    [[nodiscard]] constexpr auto patience() const noexcept -> milliseconds
+    {
+        return propagation_ / 5;
+    }
+
     /// \brief Wait of a watch of a peer, such that a silent peer is left soon after `max_age`.
     /// \param age Age of what the follower knows.
     [[nodiscard]] constexpr auto peer_watch(duration age) const noexcept -> milliseconds
--- a/include/knapweedchute/feed/feed_source.hpp
+++ b/include/knapweedchute/feed/feed_source.hpp
@@ -50,6 +50,9 @@
     /// \param wait  Time after which an empty page is returned.
     /// \param done  Called once with the result.
     virtual auto watch(std::uint64_t after, milliseconds wait, listener done) -> void = 0;
+
+    /// \brief Makes the watch in progress fail now; no effect without one.
+    virtual auto abort_watch() -> void = 0;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -66,6 +66,9 @@
     /// \brief Returns how long the cache may still be served to peers without news of the store.
     [[nodiscard]] auto serving_time_left() const -> duration;
 
+    /// \brief Ends a watch in progress, as peers know of a change that its source has not told.
+    auto suspect_source() -> void;
+
     /// \brief Whether changes are read from a peer instead of the store.
     [[nodiscard]] auto follows_peer() const noexcept -> bool { return followed_peer_.has_value(); }
 
@@ -82,6 +85,7 @@
     auto on_watch(const feed_reply& reply) -> void;
     auto notify_listener(const feed_event& event) -> bool;
     auto select_source() -> feed_source&;
+    [[nodiscard]] auto current_source() const -> feed_source&;
     auto record_failure() -> void;
     auto record_contact(bool recent_disruption) -> void;
     auto begin_call(milliseconds wait) -> void;
@@ -113,6 +117,7 @@
     std::optional<duration> up_to_date_at_; ///< When all changes were last known to be here.
     duration call_began_at_{0};             ///< Start of the latest call, by the clock of ages.
     milliseconds call_wait_{0};             ///< Time after which the source answers it in any case.
+    bool watching_ = false; ///< Whether a watch is in progress that nothing suspects.
     bool history_lost_ = false;
 };
 
--- a/include/knapweedchute/feed/peer_feed_source.hpp
+++ b/include/knapweedchute/feed/peer_feed_source.hpp
@@ -18,6 +18,7 @@
         -> void override;
     auto renew_connections() -> void override { client_.renew_connection(); }
     auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override;
+    auto abort_watch() -> void override { client_.abort_call(); }
 
 private:
     auto call(const std::string& target, duration timeout, listener done) -> void;
--- a/include/knapweedchute/net/call_client.hpp
+++ b/include/knapweedchute/net/call_client.hpp
@@ -32,6 +32,10 @@
     /// \brief Makes the next call open a new connection; no effect while a call is in progress.
     auto renew_connection() -> void;
 
+    /// \brief Closes the connection of the call in progress, which thereby ends; no effect without
+    ///        one.
+    auto abort_call() -> void;
+
     /// \brief Encodes an HTTP request, with a JSON body unless `body` is empty.
     [[nodiscard]] auto encode(std::string_view method, std::string_view target,
                               std::string_view body) const -> std::string;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -125,16 +125,19 @@
 auto entry_instance::record_peer_configuration(const std::string& peer, std::uint64_t version)
     -> void
 {
-    if (!configuration_lag_.record(version, configuration_version(), timers_.now())) {
-        return;
+    const auto own_version = configuration_version();
+    if (configuration_lag_.record(version, own_version, timers_.now())) {
+        const auto age = subscriber_->age();
+        log_line.info("Peer has a newer configuration.",
+                      {{"peer", peer},
+                       {"version", std::to_string(version)},
+                       {"own", std::to_string(own_version)},
+                       {"follows_peer", subscriber_->follows_peer() ? "true" : "false"},
+                       {"age_ms", age ? std::to_string(*age / milliseconds{1}) : "unknown"}});
+    }
+    if (configuration_lag_.take_suspicion(own_version, timers_.now())) {
+        subscriber_->suspect_source();
     }
-    const auto age = subscriber_->age();
-    log_line.info("Peer has a newer configuration.",
-                  {{"peer", peer},
-                   {"version", std::to_string(version)},
-                   {"own", std::to_string(configuration_version())},
-                   {"follows_peer", subscriber_->follows_peer() ? "true" : "false"},
-                   {"age_ms", age ? std::to_string(*age / milliseconds{1}) : "unknown"}});
 }
 
 auto entry_instance::peer_feed(const member& peer) -> feed_source&
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -125,6 +125,7 @@
     auto& source = select_source();
     const auto wait = watch_wait();
     begin_call(wait);
+    watching_ = true;
     source.watch(cache_.revision(), wait, [this](const auto& reply) { on_watch(reply); });
 }
 
@@ -147,6 +148,7 @@
 
 auto feed_subscriber::on_watch(const feed_reply& reply) -> void
 {
+    watching_ = false;
     if (reply.status == feed_read_status::history_expired) {
         last_disruption_ = timers_->now();
         history_lost_ = true;
@@ -189,13 +191,28 @@
                       {{"from", selected_source.empty() ? "store" : selected_source},
                        {"age_ms", age_text()}});
     }
-    auto& source = followed_peer_ ? find_peer_source_(*followed_peer_) : *store_;
+    auto& source = current_source();
     if (previous_source != selected_source || consecutive_failures_ > 0) {
         source.renew_connections();
     }
     return source;
 }
 
+auto feed_subscriber::current_source() const -> feed_source&
+{
+    return followed_peer_ ? find_peer_source_(*followed_peer_) : *store_;
+}
+
+auto feed_subscriber::suspect_source() -> void
+{
+    if (std::exchange(watching_, false)) {
+        log_line.warning("Source suspected.",
+                         {{"from", followed_peer_ ? followed_peer_->instance : "store"},
+                          {"age_ms", age_text()}});
+        current_source().abort_watch();
+    }
+}
+
 auto feed_subscriber::record_failure() -> void
 {
     if (consecutive_failures_ == 0) {
--- a/src/net/call_client.cpp
+++ b/src/net/call_client.cpp
@@ -36,6 +36,13 @@
     }
 }
 
+auto call_client::abort_call() -> void
+{
+    if (busy_) {
+        connection_->close(exchange_status::unknown);
+    }
+}
+
 auto call_client::encode(std::string_view method, std::string_view target,
                          std::string_view body) const -> std::string
 {
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -5,12 +5,14 @@
 
 #include <knapweedchute/feed/feed_handler.hpp>
 #include <knapweedchute/feed/feed_subscriber.hpp>
+#include <knapweedchute/membership/configuration_lag.hpp>
 
 #include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -85,7 +87,10 @@
         answer(feed_call::start(*instance_, seconds{1}, std::move(done)), reply);
     }
 
-    auto renew_connections() -> void override { dead = false; }
+    auto renew_connections() -> void override
+    {
+        silent_connections -= silent_connections > 0 ? 1 : 0;
+    }
 
     auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override
     {
@@ -94,11 +99,18 @@
         waiting_ = call;
         if (refused) {
             answer(call, {});
-        } else if (!cut && !dead) {
+        } else if (!cut && silent_connections == 0) {
             poll(call, after, network_->now() + wait);
         }
     }
 
+    auto abort_watch() -> void override
+    {
+        if (const auto waiting = waiting_.lock()) {
+            waiting->finish({});
+        }
+    }
+
     /// \brief Refuses the calls that wait and those to come.
     auto refuse() -> void
     {
@@ -108,9 +120,10 @@
         }
     }
 
-    bool cut = false;      ///< Nothing reaches the store or comes back.
-    bool refused = false;  ///< The store answers that it does not serve this instance.
-    bool dead = false;     ///< The kept connection is silent; a new one works.
+    bool cut = false;     ///< Nothing reaches the store or comes back.
+    bool refused = false; ///< The store answers that it does not serve this instance.
+    /// Connections, the kept one and those opened next, that are silent.
+    std::size_t silent_connections = 0;
     std::size_t calls = 0; ///< Watches begun.
 
 private:
@@ -129,7 +142,7 @@
             return;
         }
         network_->at(network_->now() + answer_time, [this, call, after, end] {
-            if (!cut && !dead) {
+            if (!cut && silent_connections == 0) {
                 poll(call, after, end);
             }
         });
@@ -138,7 +151,7 @@
     auto answer(const std::shared_ptr<feed_call>& call, const feed_reply& reply) -> void
     {
         network_->at(network_->now() + answer_time, [this, call, reply] {
-            if (!cut && !dead) {
+            if (!cut && silent_connections == 0) {
                 instance_->at(network_->now(), [call, reply] { call->finish(reply); });
             }
         });
@@ -183,10 +196,18 @@
              wait + feed_fleet_limits.peer_margin(), std::move(done));
     }
 
+    auto abort_watch() -> void override
+    {
+        if (const auto waiting = waiting_.lock()) {
+            waiting->finish({});
+        }
+    }
+
 private:
     auto call(const std::string& target, duration timeout, listener done) -> void
     {
         auto pending = feed_call::start(*caller_, timeout, std::move(done));
+        waiting_ = pending;
         if (!reachable_()) {
             return;
         }
@@ -223,6 +244,7 @@
     feed_handler* handler_;
     const envelope* codec_;
     std::function<bool()> reachable_;
+    std::weak_ptr<feed_call> waiting_;
 };
 
 /// \brief Instances that read one store or follow each other, in virtual time.
@@ -253,11 +275,22 @@
         auto on_value(const feed_event& state) -> bool override
         {
             const auto changed = std::exchange(values[state.key], state.value) != state.value;
-            if (changed && on_new_value) {
-                on_new_value(state);
+            if (state.key == "op/config") {
+                config_revision_ = state.revision;
             }
             return changed;
         }
+        /// \brief Version of the configuration in use: its revision in the store.
+        [[nodiscard]] auto version() const -> std::uint64_t { return config_revision_; }
+
+        auto hear_version(std::uint64_t version) -> void
+        {
+            lag.record(version, config_revision_, timers.now());
+            if (lag.take_suspicion(config_revision_, timers.now())) {
+                subscriber.suspect_source();
+            }
+        }
+
         auto on_deletion(const std::string& key, std::optional<time_point> /*hold_until*/)
             -> void override
         {
@@ -275,8 +308,11 @@
         feed_subscriber subscriber;
         std::map<std::string, std::string> values;
         std::map<std::string, std::unique_ptr<peer_link>> links;
+        configuration_lag lag{feed_fleet_limits.patience()};
         std::vector<member> known; ///< Members that this instance knows, if not all.
-        std::function<void(const feed_event&)> on_new_value; ///< Called when a value has changed.
+
+    private:
+        std::uint64_t config_revision_ = 0;
     };
 
     /// \param zones   Availability zone of each instance.
@@ -323,6 +359,14 @@
         }
     }
 
+    /// \brief Makes each instance state its configuration version to one other, again and again.
+    auto start_gossip() -> void
+    {
+        for (auto index = std::size_t{0}; index < instances.size(); ++index) {
+            gossip(index);
+        }
+    }
+
     /// Whether messages pass between two instances, by index.
     std::function<bool(std::size_t from, std::size_t to)> reachable = [](auto, auto) {
         return true;
@@ -334,6 +378,22 @@
     std::vector<std::unique_ptr<instance>> instances;
 
 private:
+    static constexpr auto gossip_interval = milliseconds{170};
+
+    auto gossip(std::size_t from) -> void
+    {
+        auto& sender = *instances[from];
+        const auto to =
+            std::uniform_int_distribution<std::size_t>{0, instances.size() - 1}(random_);
+        if (to != from && reachable(from, to)) {
+            auto& receiver = *instances[to];
+            receiver.timers.at(timers.now(), [&receiver, version = sender.version()] {
+                receiver.hear_version(version);
+            });
+        }
+        sender.timers.at(timers.now() + gossip_interval, [this, from] { gossip(from); });
+    }
+
     auto link(instance& from, const member& peer) -> feed_source&
     {
         auto& link = from.links[peer.instance];
@@ -355,6 +415,8 @@
         });
         return static_cast<std::size_t>(place - members.begin());
     }
+
+    std::mt19937_64 random_{1};
 };
 
 } // namespace knapweedchute::test
--- a/tests/support/propagation_schedule.cpp
+++ b/tests/support/propagation_schedule.cpp
@@ -70,7 +70,7 @@
             affected.store.cut = true;
             after(step.duration, [&affected] {
                 affected.store.cut = false;
-                affected.store.dead = true;
+                affected.store.silent_connections = 1;
             });
             break;
         case step_kind::refuse:
@@ -79,7 +79,7 @@
             after(step.duration, [&affected] { affected.store.refused = false; });
             break;
         case step_kind::silence:
-            affected.store.dead = true;
+            affected.store.silent_connections = 1;
             break;
         case step_kind::pause:
             disturb(step);
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -43,6 +43,7 @@
     }
 
     auto renew_connections() -> void override { silent = false; }
+    auto abort_watch() -> void override {}
 
     auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override
     {
--- a/tests/unit/feed/propagation_test.cpp
+++ b/tests/unit/feed/propagation_test.cpp
@@ -133,7 +133,7 @@
     for (const auto& zones : {nine_in_three_zones, twelve_in_one_zone}) {
         play(zones, [](auto& fleet) {
             for (const auto& reader : fleet.instances) {
-                reader->store.dead = true;
+                reader->store.silent_connections = 1;
             }
             return std::vector<feed_fleet::instance*>{};
         });
@@ -148,7 +148,7 @@
             fleet.contents.write("op/config", "earlier");
             fleet.timers.advance(milliseconds{20});
             for (const auto& reader : fleet.instances) {
-                reader->store.dead = true;
+                reader->store.silent_connections = 1;
             }
             return std::vector<feed_fleet::instance*>{};
         });
@@ -156,6 +156,21 @@
     BOOST_TEST((slowest < apply_limit), slowest_case);
 }
 
+BOOST_AUTO_TEST_CASE(
+    change_is_in_use_in_time_though_two_connections_to_the_store_in_a_row_are_silent)
+{
+    for (const auto& zones : {nine_in_three_zones, twelve_in_one_zone}) {
+        for (auto index = std::size_t{0}; index < 4; ++index) {
+            play(zones, [index](auto& fleet) {
+                fleet.start_gossip();
+                fleet.instances[index]->store.silent_connections = 2;
+                return std::vector<feed_fleet::instance*>{};
+            });
+        }
+    }
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
 BOOST_AUTO_TEST_CASE(change_is_in_use_in_time_though_a_reader_was_paused_while_it_lost_the_store)
 {
     for (auto paused = std::size_t{0}; paused < 4; ++paused) {
