An instance that the store does not serve follows a peer that it serves

Cause: an instance that reads the store by its rank had no other source, in a fleet of nine or fewer none of them. Change: after two failed calls in a row the store counts as lost for four seconds, as a silent peer does, and the instance follows another reader; then the store is called once with a short wait, and one failure is enough to go back. A single lost answer does not turn followers away.

--- a/include/knapweedchute/feed/feed_source_selector.hpp
+++ b/include/knapweedchute/feed/feed_source_selector.hpp
@@ -14,7 +14,8 @@
 ///
 /// \detail A few instances of each availability zone read the store and all others follow one of
 ///         them, so that the number of calls to the store does not grow with the fleet. If
-///         instances have differing member lists, only a few more of them read the store.
+///         instances have differing member lists, only a few more of them read the store. A reader
+///         that has lost the store follows another one meanwhile.
 class feed_source_selector
 {
 public:
@@ -28,8 +29,22 @@
     /// \brief Records that reading from a peer failed, so that the peer is avoided for a while.
     auto record_failure(const std::string& instance, time_point now) -> void;
 
+    /// \brief Records that the store does not serve this instance, which then follows a peer for a
+    ///        while, if there is one.
+    auto record_store_failure(time_point now) -> void { store_failed_at_ = now; }
+
+    /// \brief Records that the store serves this instance.
+    auto record_store_contact() -> void { store_failed_at_.reset(); }
+
+    /// \brief Whether the store did not serve this instance when it was called last.
+    [[nodiscard]] auto store_failed() const noexcept -> bool
+    {
+        return store_failed_at_.has_value();
+    }
+
 private:
     std::map<std::string, time_point> failure_times_;
+    std::optional<time_point> store_failed_at_;
 };
 
 } // namespace knapweedchute
--- a/src/feed/feed_source_selector.cpp
+++ b/src/feed/feed_source_selector.cpp
@@ -6,8 +6,8 @@
 namespace knapweedchute {
 namespace {
 
-/// Time for which a peer is avoided after a failed read.
-constexpr auto failed_peer_cooldown = seconds{4};
+/// Time for which a peer, or the store, is avoided after a failed read.
+constexpr auto failure_cooldown = seconds{4};
 /// With this many peers avoided, the instance reads the store itself.
 constexpr auto max_failed_peers = 2;
 
@@ -17,20 +17,21 @@
                                        time_point now) const -> std::optional<member>
 {
     const auto readers_per_zone = store_readers_per_zone(members);
-    if (is_store_reader(members, self, readers_per_zone)) {
+    const auto store_is_avoided = store_failed_at_ && now - *store_failed_at_ < failure_cooldown;
+    if (!store_is_avoided && is_store_reader(members, self, readers_per_zone)) {
         return std::nullopt;
     }
     const auto is_avoided = [&](const member& peer) {
         const auto failure = failure_times_.find(peer.instance);
-        return failure != failure_times_.end() && now - failure->second < failed_peer_cooldown;
+        return failure != failure_times_.end() && now - failure->second < failure_cooldown;
     };
     if (std::count_if(members.begin(), members.end(), is_avoided) >= max_failed_peers) {
         return std::nullopt;
     }
     auto readers = std::vector<member>{};
     for (const auto& peer : members) {
-        if (peer.state == member_state::alive && !is_avoided(peer) &&
-            is_store_reader(members, peer, readers_per_zone)) {
+        if (peer.instance != self.instance && peer.state == member_state::alive &&
+            !is_avoided(peer) && is_store_reader(members, peer, readers_per_zone)) {
             readers.push_back(peer);
         }
     }
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -135,7 +135,7 @@
     if (followed_peer_) {
         return known_age ? limits_.peer_watch(*known_age) : milliseconds{0};
     }
-    if (consecutive_failures_ > 0) {
+    if (consecutive_failures_ > 0 || selector_.store_failed()) {
         return probe_watch_timeout;
     }
     // After a full read, which may be stale, the first watch tells at once what is missing.
@@ -226,6 +226,10 @@
         selector_.record_failure(followed_peer_->instance, timers_->now());
     } else {
         last_disruption_ = timers_->now();
+        // One lost answer does not turn followers away; the store is called once more first.
+        if (consecutive_failures_ > 1 || selector_.store_failed()) {
+            selector_.record_store_failure(timers_->now());
+        }
     }
     if (on_change_) {
         on_change_();
@@ -238,6 +242,9 @@
         log_line.info("Source regained.", {{"losses", std::to_string(consecutive_failures_)}});
     }
     consecutive_failures_ = 0;
+    if (!followed_peer_) {
+        selector_.record_store_contact();
+    }
     if (recent_disruption) {
         last_disruption_ = timers_->now();
     }
--- a/tests/unit/feed/propagation_test.cpp
+++ b/tests/unit/feed/propagation_test.cpp
@@ -171,6 +171,19 @@
     BOOST_TEST((slowest < apply_limit), slowest_case);
 }
 
+BOOST_AUTO_TEST_CASE(change_is_in_use_in_time_at_an_instance_that_the_store_refuses)
+{
+    for (const auto& zones : {nine_in_three_zones, twelve_in_one_zone}) {
+        for (auto index = std::size_t{0}; index < 4; ++index) {
+            play(zones, [index](auto& fleet) {
+                fleet.instances[index]->store.refuse();
+                return std::vector<feed_fleet::instance*>{};
+            });
+        }
+    }
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
 BOOST_AUTO_TEST_CASE(change_is_in_use_in_time_though_a_reader_was_paused_while_it_lost_the_store)
 {
     for (auto paused = std::size_t{0}; paused < 4; ++paused) {
