--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -52,6 +52,13 @@
     std::vector<feed_event> changes;
     std::uint64_t revision = 1;
 
+    auto remove(const std::string& key) -> void
+    {
+        revision += 1;
+        items.erase(key);
+        changes.push_back({key, {}, revision, true});
+    }
+
     auto write(const std::string& key, const std::string& value) -> void
     {
         revision += 1;
@@ -291,10 +298,11 @@
             }
         }
 
-        auto on_deletion(const std::string& key, std::optional<time_point> /*hold_until*/)
+        auto on_deletion(const std::string& key, std::optional<time_point> hold_until)
             -> void override
         {
             values.erase(key);
+            released_at = hold_until.value_or(timers.now());
         }
         auto on_complete_list(const std::set<std::string>& /*keys*/,
                               std::optional<time_point> /*hold_until*/) -> void override
@@ -308,6 +316,7 @@
         feed_subscriber subscriber;
         std::map<std::string, std::string> values;
         std::map<std::string, std::unique_ptr<peer_link>> links;
+        std::optional<time_point> released_at; ///< When the latest deleted key was out of use.
         configuration_lag lag{feed_fleet_limits.patience()};
         std::vector<member> known; ///< Members that this instance knows, if not all.
 
--- a/tests/unit/feed/propagation_test.cpp
+++ b/tests/unit/feed/propagation_test.cpp
@@ -204,4 +204,37 @@
     BOOST_TEST((slowest < apply_limit), slowest_case);
 }
 
+BOOST_AUTO_TEST_CASE(target_removed_after_a_store_disruption_is_out_of_use_in_time_at_followers)
+{
+    constexpr auto expiry_interval = milliseconds{250}; // Held targets are expired that often.
+    auto slowest_release = duration{0};
+    for (auto gap = duration{0}; gap < seconds{1}; gap += milliseconds{20}) {
+        auto fleet = feed_fleet{twelve_in_one_zone};
+        fleet.contents.write("servers/a", "1");
+        fleet.contents.write("servers/b", "1");
+        fleet.timers.advance(seconds{3});
+        for (const auto& reader : fleet.instances) {
+            reader->store.refuse();
+        }
+        fleet.timers.advance(milliseconds{50});
+        for (const auto& reader : fleet.instances) {
+            reader->store.refused = false;
+        }
+        fleet.timers.advance(seconds{2});
+        fleet.contents.write("servers/b", "2");
+        fleet.timers.advance(gap);
+        fleet.contents.write("servers/b", "3");
+        fleet.timers.advance(milliseconds{20});
+        const auto removed = fleet.timers.now();
+        fleet.contents.remove("servers/a");
+        fleet.timers.advance(seconds{3});
+        for (const auto& known : fleet.instances) {
+            BOOST_REQUIRE(known->released_at.has_value());
+            slowest_release =
+                std::max(slowest_release, *known->released_at - removed + expiry_interval);
+        }
+    }
+    BOOST_TEST((slowest_release < apply_limit), slowest_release / milliseconds{1});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
