--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -290,6 +290,7 @@
         /// \brief Version of the configuration in use: its revision in the store.
         [[nodiscard]] auto version() const -> std::uint64_t { return config_revision_; }
 
+        /// \brief Handles the version that a peer states.
         auto hear_version(std::uint64_t version) -> void
         {
             lag.record(version, config_revision_, timers.now());
--- a/tests/support/pausable_timer_queue.hpp
+++ b/tests/support/pausable_timer_queue.hpp
@@ -2,6 +2,7 @@
 
 #include <knapweedchute/relay/timer_queue.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <utility>
@@ -23,7 +24,7 @@
         running_[id] = clock_->at(when, [this, id, work = std::move(work)] {
             running_.erase(id);
             if (paused_) {
-                deferred_.emplace(deferred_.size(), std::pair{id, work});
+                deferred_.push_back({id, work});
             } else {
                 work();
             }
@@ -36,32 +37,32 @@
         if (const auto node = running_.extract(timer); !node.empty()) {
             clock_->cancel(node.mapped());
         }
-        for (auto& [order, task] : deferred_) {
-            if (task.first == timer) {
-                task.second = [] {};
-            }
-        }
+        std::erase_if(deferred_, [&](const auto& task) { return task.id == timer; });
     }
 
-    [[nodiscard]] auto paused() const noexcept -> bool { return paused_; }
-
     auto pause() -> void { paused_ = true; }
 
     /// \brief Ends the pause and runs what became due, in its order.
     auto resume() -> void
     {
         paused_ = false;
-        for (auto index = std::size_t{0}; index < deferred_.size(); ++index) {
-            const auto work = std::exchange(deferred_.at(index).second, [] {});
-            work();
+        while (!deferred_.empty()) {
+            const auto task = std::move(deferred_.front());
+            deferred_.pop_front();
+            task.work();
         }
-        deferred_.clear();
     }
 
 private:
+    struct deferred_task
+    {
+        timer_id id;
+        std::function<void()> work;
+    };
+
     timer_queue* clock_;
     std::map<timer_id, timer_id> running_; ///< Timers of the world by own timer.
-    std::map<std::size_t, std::pair<timer_id, std::function<void()>>> deferred_;
+    std::deque<deferred_task> deferred_;   ///< Due during the pause, in order.
     timer_id next_ = 1;
     bool paused_ = false;
 };
--- a/tests/support/propagation_search_main.cpp
+++ b/tests/support/propagation_search_main.cpp
@@ -3,6 +3,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <iostream>
 
--- a/tests/unit/net/call_client_test.cpp
+++ b/tests/unit/net/call_client_test.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
 
 using namespace knapweedchute;
 using namespace knapweedchute::test;
