Soak: versions in a row name sixteen services, so that an answer tells its version

Cause: the check, not the instance. Four services named versions in turn; instance 3 had version 3 in force until 11:24:53.938 while the newest was 7, which names the same service, so its answers counted as version 7. Its log has versions 1, 2, 3, 4, 5, 6 and 8 in this order and never 7; the peer that it then followed passed 6 on. Change: sixteen services, so that an instance may be that many versions behind before an answer is ambiguous; stricter, as a step back by four or more versions was not seen before. Faults are drawn among the same targets as before.

--- a/tests/soak/answer_checker.cpp
+++ b/tests/soak/answer_checker.cpp
@@ -14,7 +14,6 @@
 constexpr auto record_size = std::size_t{16};
 constexpr auto top = std::size_t{5};
 constexpr auto least_coverage = 0.5;
-constexpr auto configured_services = std::uint64_t{4};
 
 auto value_of(const relayed_answer& answer, const std::string& name) -> std::string
 {
--- a/tests/soak/answer_checker.hpp
+++ b/tests/soak/answer_checker.hpp
@@ -67,6 +67,9 @@
     /// \brief Notes a fault.
     auto fault(const asked& request, const std::string& what) -> void;
 
+    /// Versions in a row that name different services; an instance may be that many behind.
+    static constexpr auto configured_services = std::uint64_t{16};
+
     /// \brief Service that a version names for configured requests.
     [[nodiscard]] static auto configured_service(std::uint64_t version) -> std::string;
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -65,10 +65,10 @@
 {
     constexpr auto modes =
         std::array{target_mode::slow, target_mode::dark, target_mode::full, target_mode::failing};
-    auto index = drawn(targets_.size());
+    auto index = drawn(faulty_targets_);
     // Every second time one whose requests must not run twice: there are few of them.
-    for (auto tries = drawn(2) * targets_.size(); tries > 0; --tries) {
-        index = targets_.at(index).target->service() == "o" ? index : drawn(targets_.size());
+    for (auto tries = drawn(2) * faulty_targets_; tries > 0; --tries) {
+        index = targets_.at(index).target->service() == "o" ? index : drawn(faulty_targets_);
     }
     targets_.at(index).target->set_mode(modes.at(drawn(modes.size())));
     later(drawn_time(300, 2'500),
@@ -77,7 +77,7 @@
 
 auto soak_world::unlist_target() -> void
 {
-    const auto index = drawn(targets_.size());
+    const auto index = drawn(faulty_targets_);
     targets_.at(index).listed = false;
     store_.remove("servers/" + targets_.at(index).target->id());
     later(drawn_time(500, 2'500), [this, index] {
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -18,7 +18,8 @@
 constexpr auto first_target_host = std::uint32_t{60};
 constexpr auto port = std::uint16_t{24'300};
 constexpr auto shards = 6;
-constexpr auto configured = 4;
+/// Services of configured requests whose targets have faults.
+constexpr auto faulty_configured_services = std::uint64_t{4};
 constexpr auto entries = 4;
 constexpr auto heartbeat_interval = milliseconds{1'200};
 constexpr auto keep_interval = milliseconds{100};
@@ -79,9 +80,10 @@
         add_target("o", zone, "v1");
         add_target("m", zone, "v1");
     }
-    for (auto index = 0; index < configured; ++index) {
-        add_target("c" + std::to_string(index), "a", "v1");
-        add_target("c" + std::to_string(index), "b", "v1");
+    for (auto index = std::uint64_t{0}; index < answer_checker::configured_services; ++index) {
+        add_target(answer_checker::configured_service(index), "a", "v1");
+        add_target(answer_checker::configured_service(index), "b", "v1");
+        faulty_targets_ = index < faulty_configured_services ? targets_.size() : faulty_targets_;
     }
     write_configuration();
     for (auto index = std::size_t{0}; index < entries; ++index) {
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -120,6 +120,7 @@
     caller_listener store_listener_;
     run_counts runs_;
     std::vector<placed_target> targets_;
+    std::size_t faulty_targets_ = 0; ///< Targets, the first ones, that have faults.
     std::vector<std::unique_ptr<entry_process>> entries_;
     std::vector<std::uint64_t> lifetimes_;
     std::vector<address> caller_addresses_;
