--- a/review/stand_ins/at_most_once.cpp
+++ b/review/stand_ins/at_most_once.cpp
@@ -144,8 +144,8 @@
         const auto ip = all.net + "." + std::to_string(60 + index);
         servers.push_back(std::make_unique<server>(
             ip, 8326, [&all, index](connection& open) { serve_leaf(all, index, open); }));
-        platform.put("servers/leaf-" + std::to_string(index),
-                     leaf_entry("desk", ip, 8326, "zone-" + std::to_string(1 + index % 3)));
+        platform.keep_leaf("leaf-" + std::to_string(index),
+                           leaf_entry("desk", ip, 8326, "zone-" + std::to_string(1 + index % 3)));
     }
     platform.put("op/config", desk_configuration(1, {desk_route("book", "non_idempotent", 4'000)}));
     for (auto index = 1; index <= 3; ++index) {
--- a/review/stand_ins/config_storms.cpp
+++ b/review/stand_ins/config_storms.cpp
@@ -18,8 +18,7 @@
 constexpr auto length = milliseconds{98'000};
 constexpr auto storm_length = milliseconds{4'000};
 constexpr auto storm_gap = milliseconds{330};
-constexpr auto value_bytes = std::size_t{1'048'576}; // platform.valueBytes
-constexpr auto memory_mb = std::int64_t{260};        // limits.memoryMb
+constexpr auto memory_mb = std::int64_t{260}; // limits.memoryMb
 
 struct lost_request
 {
@@ -93,21 +92,6 @@
     return resident * sysconf(_SC_PAGESIZE) / 1'048'576;
 }
 
-auto routes_of(int count, int timeout_ms) -> nlohmann::json
-{
-    auto routes = nlohmann::json::array();
-    for (auto index = 0; index < count; ++index) {
-        const auto name = index == 0 ? std::string{"read"} : "idle" + std::to_string(index);
-        routes.push_back(desk_route(name, "idempotent", index == 0 ? 4'000 : timeout_ms));
-    }
-    return routes;
-}
-
-auto configuration(int version, int routes) -> nlohmann::json
-{
-    return desk_configuration(version, routes_of(routes, 4'000 + version % 100));
-}
-
 /// The platform ends processes that exceed their memory.
 auto watch_memory(world& all, const std::vector<int>& processes) -> void
 {
@@ -150,15 +134,16 @@
         const auto id = "leaf-" + std::to_string(index);
         servers.push_back(std::make_unique<server>(
             ip, 8326, [&all, id](connection& open) { serve_leaf(all, id, open); }));
-        platform.put("servers/" + id,
-                     leaf_entry("desk", ip, 8326, "zone-" + std::to_string(1 + index % 3)));
+        platform.keep_leaf(id,
+                           leaf_entry("desk", ip, 8326, "zone-" + std::to_string(1 + index % 3)));
     }
-    const auto one_route = configuration(2, 2).dump().size() - configuration(2, 1).dump().size();
-    const auto routes = static_cast<int>(value_bytes * 95 / 100 / (one_route + 6));
+    const auto routes = big_routes{};
     auto version = 1;
-    platform.put("op/config", configuration(version, routes));
-    all.record.line(concat("configuration of ", std::to_string(routes), " routes, ",
-                           std::to_string(configuration(version, routes).dump().size()), " bytes"));
+    platform.put("op/config", desk_configuration(version, routes.of_version(version)));
+    all.record.line(concat(
+        "configuration of ", std::to_string(routes.count()), " routes, ",
+        std::to_string(desk_configuration(version, routes.of_version(version)).dump().size()),
+        " bytes"));
     for (auto index = 1; index <= entries; ++index) {
         if (!wait_until_ready(all.net + ".1" + std::to_string(index), 8108, milliseconds{10'000})) {
             std::cerr << "an entry daemon is not ready\n";
@@ -179,7 +164,7 @@
         for (auto next = storm; trouble && next < storm + storm_length; next += storm_gap) {
             std::this_thread::sleep_until(next);
             version += 1;
-            platform.put("op/config", configuration(version, routes));
+            platform.put("op/config", desk_configuration(version, routes.of_version(version)));
         }
         std::this_thread::sleep_until(storm + storm_length);
         const auto lock = std::lock_guard{all.mutex};
--- a/review/stand_ins/stand_ins.hpp
+++ b/review/stand_ins/stand_ins.hpp
@@ -294,12 +294,13 @@
     return result;
 }
 
-/// \brief The platform's store: ranges, watches and transactions; keeps the latest changes.
+/// \brief The platform's store: ranges, watches and transactions; keeps the changes of 20 s.
 class store
 {
 public:
-    store(const std::string& ip, int port)
-        : server_{ip, port, [this](connection& open) { serve(open); }}
+    /// \param stale_by How old an answer is to a read that may be stale.
+    store(const std::string& ip, int port, milliseconds stale_by = milliseconds{0})
+        : stale_by_{stale_by}, server_{ip, port, [this](connection& open) { serve(open); }}
     {
     }
 
@@ -309,14 +310,24 @@
         write(key, base64(value.dump()));
     }
 
+    /// \brief Writes the entry of a leaf now and every 1.2 s.
+    auto keep_leaf(const std::string& id, nlohmann::json entry) -> void
+    {
+        std::thread{[this, key = "servers/" + id, entry = std::move(entry)]() mutable {
+            for (auto sequence = 1;; ++sequence) {
+                entry["sequence"] = sequence;
+                put(key, entry);
+                std::this_thread::sleep_for(heartbeat);
+            }
+        }}.detach();
+    }
+
     auto remove(const std::string& key) -> void
     {
         const auto lock = std::lock_guard{mutex_};
         revision_ += 1;
         items_.erase(key);
-        history_[revision_] = {{"key", key}, {"revision", revision_}, {"deleted", true}};
-        forget_oldest();
-        changed_.notify_all();
+        note_change({{"key", key}, {"revision", revision_}, {"deleted", true}});
     }
 
 private:
@@ -331,15 +342,26 @@
                        {"revision", revision_},
                        {"createRevision", made},
                        {"lease", 0}};
-        history_[revision_] = items_[key];
+        note_change(items_[key]);
+    }
+
+    auto note_change(const nlohmann::json& change) -> void
+    {
+        history_[revision_] = {steady::now(), change};
         forget_oldest();
         changed_.notify_all();
     }
 
     auto forget_oldest() -> void
     {
-        while (history_.size() > kept_changes) {
+        while (!history_.empty() && steady::now() - history_.begin()->second.first > kept_for) {
+            const auto& oldest = history_.begin()->second.second;
             history_from_ = history_.begin()->first;
+            if (oldest.contains("deleted")) {
+                before_.erase(oldest.at("key"));
+            } else {
+                before_[oldest.at("key")] = oldest;
+            }
             history_.erase(history_.begin());
         }
     }
@@ -385,19 +407,38 @@
             const auto found = given.find(name);
             return found == given.end() ? std::string{} : found->second;
         };
+        auto revision = revision_;
+        auto state = items_;
+        if (value("staleOk") == "1" && stale_by_ > milliseconds{0}) {
+            revision = history_from_;
+            state = before_;
+            for (const auto& [changed_at, change] : history_) {
+                if (steady::now() - change.first < stale_by_) {
+                    break;
+                }
+                revision = changed_at;
+                const auto& key = change.second.at("key").get_ref<const std::string&>();
+                if (change.second.contains("deleted")) {
+                    state.erase(key);
+                } else {
+                    state[key] = change.second;
+                }
+            }
+        }
         auto items = nlohmann::json::array();
-        for (const auto& [key, item] : items_) {
+        for (const auto& [key, item] : state) {
             if (key.starts_with(value("prefix")) && key > value("after")) {
                 items.push_back(item);
             }
         }
-        return {{"items", items}, {"truncated", false}, {"asOf", revision_}};
+        return {{"items", items}, {"truncated", false}, {"asOf", revision}};
     }
 
     auto watch(const std::map<std::string, std::string>& given, int& status) -> nlohmann::json
     {
         auto lock = std::unique_lock{mutex_};
         const auto after = std::stoull(given.at("after"));
+        forget_oldest();
         if (after < history_from_) {
             status = 410;
             return {{"error", "history is gone"}};
@@ -407,8 +448,9 @@
         auto events = nlohmann::json::array();
         changed_.wait_for(lock, wait, [&] {
             for (auto change = history_.upper_bound(after); change != history_.end(); ++change) {
-                if (change->second.at("key").get<std::string>().starts_with(prefix)) {
-                    events.push_back(change->second);
+                const auto& item = change->second.second;
+                if (item.at("key").get_ref<const std::string&>().starts_with(prefix)) {
+                    events.push_back(item);
                 }
             }
             return !events.empty();
@@ -437,12 +479,15 @@
 
     std::mutex mutex_;
     std::condition_variable changed_;
-    static constexpr auto kept_changes = std::size_t{100};
+    static constexpr auto heartbeat = milliseconds{1'200};
+    static constexpr auto kept_for = std::chrono::seconds{20}; // platform.historyS
 
+    milliseconds stale_by_;
     std::uint64_t revision_ = 1;
     std::uint64_t history_from_ = 0;
     std::map<std::string, nlohmann::json> items_;
-    std::map<std::uint64_t, nlohmann::json> history_;
+    std::map<std::string, nlohmann::json> before_; ///< Items before the changes that are kept.
+    std::map<std::uint64_t, std::pair<steady::time_point, nlohmann::json>> history_;
     server server_;
 };
 
@@ -487,6 +532,41 @@
             {"limits", {{"idleTimeoutMs", 15'000}}}};
 }
 
+/// \brief Routes of a configuration that nearly fills a value of the store (platform.valueBytes).
+class big_routes
+{
+public:
+    static constexpr auto value_bytes = std::size_t{1'048'576};
+
+    big_routes()
+    {
+        const auto size = [](int count) { return routes(count, 4'000).dump().size(); };
+        const auto one = size(3) - size(2) + 6; // longer names come later
+        count_ = static_cast<int>(value_bytes * 95 / 100 / one);
+    }
+
+    [[nodiscard]] auto count() const noexcept -> int { return count_; }
+
+    /// \brief The route `read` and many idle ones, whose time-out tells versions apart.
+    [[nodiscard]] auto of_version(int version) const -> nlohmann::json
+    {
+        return routes(count_, 4'000 + version % 100);
+    }
+
+private:
+    static auto routes(int count, int timeout_ms) -> nlohmann::json
+    {
+        auto result = nlohmann::json::array();
+        for (auto index = 0; index < count; ++index) {
+            const auto name = index == 0 ? std::string{"read"} : "idle" + std::to_string(index);
+            result.push_back(desk_route(name, "idempotent", index == 0 ? 4'000 : timeout_ms));
+        }
+        return result;
+    }
+
+    int count_ = 0;
+};
+
 /// \brief Waits until an entry daemon says that it is ready.
 inline auto wait_until_ready(const std::string& ip, int port, milliseconds limit) -> bool
 {
