--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# One of seven leafs runs requests that must not run twice and answers some of them with a failure
+# One of eight leafs runs requests that must not run twice and answers some of them with a failure
 # of its own, 503 without Not-Executed. TROUBLE=0: that leaf is sound.
 . "$(dirname "$0")/../stand_ins/common.sh"
 for index in 1 2 3; do
--- a/review/stand_ins/at_most_once.cpp
+++ b/review/stand_ins/at_most_once.cpp
@@ -1,5 +1,5 @@
-// Consumers send requests that must not run twice to a service of seven leafs. For some seconds
-// some leafs are faulty, by the first argument:
+// Consumers send requests that must not run twice to a service of six or eight leafs. For some
+// seconds some leafs are faulty, by the first argument:
 //   grey     one leaf runs a share of its requests and answers them 503, with its proof and without
 //            Not-Executed;
 //   spoiled  two leafs run every request, and a share of their answers comes without Server-Stamp.
@@ -13,7 +13,6 @@
 
 using namespace review;
 
-constexpr auto leafs = 7;
 constexpr auto faulty_from = milliseconds{3'000};
 constexpr auto length = milliseconds{14'000};
 constexpr auto consumers = 18;
@@ -22,15 +21,16 @@
 
 struct disruption
 {
+    int leafs;
     int faulty_leafs; ///< The first ones.
     double share;     ///< Of their answers.
     milliseconds length;
 };
 
-/// One leaf of seven, 0.4 of its requests, 6.5 s.
-constexpr auto grey = disruption{1, 0.4, milliseconds{6'500}};
-/// Two leafs of seven, 0.02 of their answers, 5.5 s.
-constexpr auto spoiled = disruption{2, 0.02, milliseconds{5'500}};
+/// One leaf of eight, 0.4 of its requests, 6.5 s.
+constexpr auto grey = disruption{8, 1, 0.4, milliseconds{6'500}};
+/// Two leafs of six, 0.02 of their answers, 5.5 s.
+constexpr auto spoiled = disruption{6, 2, 0.02, milliseconds{5'500}};
 
 struct world
 {
@@ -140,7 +140,7 @@
                      {}};
     auto platform = store{all.net + ".1", 8102};
     auto servers = std::vector<std::unique_ptr<server>>{};
-    for (auto index = 0; index < leafs; ++index) {
+    for (auto index = 0; index < all.fault().leafs; ++index) {
         const auto ip = all.net + "." + std::to_string(60 + index);
         servers.push_back(std::make_unique<server>(
             ip, 8326, [&all, index](connection& open) { serve_leaf(all, index, open); }));
