A target's status that promises "not run" is passed on only with proof

A caller that trusts the promise sends it again, and it runs twice.

Cause: finish_relay passed on a target's latest failure whatever its status. Whether the request may have run is known from the exchange (not_run needs the target's proof), and the relay used it for its own answers and for retries only. 429 and 408 without proof took the same way, and counted as final besides, so that an idempotent request was not tried elsewhere.

Change: promises_not_run names the statuses (408, 421, 429, 503). Such an answer of an exchange that may have run is kept as no answer at all: the request is retried if it is idempotent, and otherwise ends with 502, or 504 at the deadline, which promise nothing. A failure kept from an earlier attempt is passed on as before. It works because every way on which a target's failure reaches a caller goes through part.failure, which no longer takes such an answer.

--- a/include/knapweedchute/relay/impl/relay_call.hpp
+++ b/include/knapweedchute/relay/impl/relay_call.hpp
@@ -31,7 +31,7 @@
     bool may_have_run = false;                  ///< Whether any target may have run it.
     bool rejected = false;                      ///< Whether a target rejected it as full.
     std::optional<relayed_answer> answer;       ///< Answer that is used.
-    std::optional<relayed_answer> failure;      ///< Latest failure that a target reported.
+    std::optional<relayed_answer> failure;      ///< Latest failure that may be passed on.
     std::vector<trace_entry> steps;             ///< Steps taken, for the log.
 
     [[nodiscard]] auto done() const noexcept -> bool { return failed || answer.has_value(); }
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -1,3 +1,4 @@
+#include <knapweedchute/relay/refusal_answer.hpp>
 #include <knapweedchute/relay/relay_coordinator.hpp>
 #include <knapweedchute/relay/request_encoder.hpp>
 
@@ -35,6 +36,13 @@
     return answer.status >= status_success && answer.status < status_redirect;
 }
 
+/// Whether a failure that a target reported may be the caller's answer. One that promises "not run"
+/// without the proof that makes the exchange `not_run` may not: the request may have run.
+auto may_pass_on(const exchange_result& result) -> bool
+{
+    return result.status == exchange_status::answered && !promises_not_run(result.answer.status);
+}
+
 } // namespace
 
 relay_coordinator::relay_coordinator(relay_policy policy, header_names names,
@@ -239,7 +247,7 @@
 {
     auto& part = call->parts[index];
     counters_->add(counter::parts_failed);
-    if (result.status == exchange_status::answered) {
+    if (may_pass_on(result)) {
         part.failure = result.answer;
     }
     if (result.never_sent) {
@@ -290,8 +298,8 @@
 auto relay_coordinator::may_retry(const call_state& call, const part_state& part,
                                   const exchange_result& result) -> bool
 {
-    const auto is_final = result.status == exchange_status::answered &&
-                          result.answer.status < status_server_error && !is_success(result.answer);
+    const auto is_final = may_pass_on(result) && result.answer.status < status_server_error &&
+                          !is_success(result.answer);
     const auto repeatable = call.matched_route->idempotent || provably_not_run(result.status);
     if (is_final || !repeatable) {
         return false;
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -314,6 +314,65 @@
     BOOST_TEST(single_answer().status == 502U);
 }
 
+// Callers repeat a request that must not run twice after such a status: review/2, REFUSED.
+BOOST_AUTO_TEST_CASE(relay_run_by_a_target_that_answers_as_if_not_run_is_not_refused_as_not_run)
+{
+    for (const auto status : {408U, 421U, 429U, 503U}) {
+        port.sent.clear();
+        answers.clear();
+        port.answer = [status](const auto&) {
+            return fake_reply{milliseconds{1},
+                              answer_with(status, {{"Proof", "p"}, {"Retry-After", "1"}}, "")};
+        };
+        start_request("/one/x", false);
+        timers.advance(milliseconds{2'000});
+        BOOST_TEST(single_answer().status == 502U, "target answered " << status);
+        BOOST_TEST(header_value("Proof").empty());
+        BOOST_TEST(header_value("Retry-After").empty());
+        BOOST_TEST(port.sent.size() == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(relay_idempotent_run_by_targets_that_answer_as_if_not_run_is_retried_and_fails)
+{
+    for (const auto status : {408U, 421U, 429U, 503U}) {
+        port.sent.clear();
+        answers.clear();
+        port.answer = [status](const auto&) {
+            return fake_reply{milliseconds{1}, answer_with(status, {{"Proof", "p"}}, "")};
+        };
+        start_request("/one/x");
+        timers.advance(milliseconds{100});
+        BOOST_TEST(single_answer().status == 502U, "targets answered " << status);
+        BOOST_TEST(port.sent.size() == 2U, "targets answered " << status);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(relay_answered_as_if_not_run_while_a_hedge_is_open_times_out)
+{
+    port.answer = [this](const auto&) {
+        const auto first = port.sent.size() == 1;
+        return fake_reply{first ? milliseconds{500} : duration{-1}, answer_with(503, {}, "")};
+    };
+    start_request("/one/x");
+    timers.advance(milliseconds{999});
+    BOOST_TEST(port.sent.size() == 2U);
+    BOOST_TEST(single_answer().status == 504U);
+}
+
+BOOST_AUTO_TEST_CASE(relay_failure_followed_by_an_answer_as_if_not_run_returns_the_failure)
+{
+    port.answer = [this](const auto& order) {
+        const auto first = port.sent.size() == 1;
+        return fake_reply{milliseconds{1},
+                          answer_with(first ? 500 : 503, {{"Proof", order.target->id}}, "")};
+    };
+    start_request("/one/x");
+    timers.advance(milliseconds{100});
+    BOOST_TEST(single_answer().status == 500U);
+    BOOST_TEST(header_value("Proof") == port.sent.front().target->id);
+}
+
 BOOST_AUTO_TEST_CASE(relay_without_an_answer_times_out_before_the_callers_deadline)
 {
     port.answer = [](const auto&) { return fake_reply{duration{-1}, {}}; };
