A success without its target's proof is never a caller's answer

Cause: an answer is used only if it is a success with proof; any other one was kept as the target's failure and passed on by the way of failures, a success without proof among them.

Change: may_pass_on excludes successes that are not useful. Idempotent requests are retried within their budget, the others end with 502, which promises nothing; a failure kept from an earlier attempt is passed on.

--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -36,11 +36,13 @@
     return answer.status >= status_success && answer.status < status_redirect;
 }
 
-/// Whether a failure that a target reported may be the caller's answer. One that promises "not run"
-/// without the proof that makes the exchange `not_run` may not: the request may have run.
+/// Whether an answer that is not useful may still be the caller's answer. One that promises "not
+/// run" without the proof that makes the exchange `not_run` may not, as the request may have run;
+/// nor may a success without the target's proof.
 auto may_pass_on(const exchange_result& result) -> bool
 {
-    return result.status == exchange_status::answered && !promises_not_run(result.answer.status);
+    return result.status == exchange_status::answered && !promises_not_run(result.answer.status) &&
+           !is_success(result.answer);
 }
 
 } // namespace
@@ -298,8 +300,7 @@
 auto relay_coordinator::may_retry(const call_state& call, const part_state& part,
                                   const exchange_result& result) -> bool
 {
-    const auto is_final = may_pass_on(result) && result.answer.status < status_server_error &&
-                          !is_success(result.answer);
+    const auto is_final = may_pass_on(result) && result.answer.status < status_server_error;
     const auto repeatable = call.matched_route->idempotent || provably_not_run(result.status);
     if (is_final || !repeatable) {
         return false;
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -373,6 +373,40 @@
     BOOST_TEST(header_value("Proof") == port.sent.front().target->id);
 }
 
+// Callers took a success that no target had proved for the whole answer: review/3, MIXED.
+BOOST_AUTO_TEST_CASE(relay_success_without_proof_is_not_passed_on)
+{
+    for (const auto idempotent : {false, true}) {
+        for (const auto status : {200U, 204U, 206U}) {
+            port.sent.clear();
+            answers.clear();
+            port.answer = [status](const auto&) {
+                return fake_reply{milliseconds{1}, answer_with(status, {}, record('z'))};
+            };
+            start_request("/one/x", idempotent);
+            timers.advance(milliseconds{2'000});
+            BOOST_TEST(single_answer().status == 502U, "target answered " << status);
+            BOOST_TEST(single_answer().body != record('z'));
+            BOOST_TEST(port.sent.size() == (idempotent ? 2U : 1U));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(relay_failure_followed_by_a_success_without_proof_returns_the_failure)
+{
+    port.answer = [this](const auto& order) {
+        const auto first = port.sent.size() == 1;
+        return fake_reply{
+            milliseconds{1},
+            answer_with(first ? 500 : 200,
+                        first ? field_list{{"Proof", order.target->id}} : field_list{}, "")};
+    };
+    start_request("/one/x");
+    timers.advance(milliseconds{100});
+    BOOST_TEST(single_answer().status == 500U);
+    BOOST_TEST(header_value("Proof") == port.sent.front().target->id);
+}
+
 BOOST_AUTO_TEST_CASE(relay_without_an_answer_times_out_before_the_callers_deadline)
 {
     port.answer = [](const auto&) { return fake_reply{duration{-1}, {}}; };
