Test: the ports of an entry instance differ from each other

Cause: the fixture of entry_stop_suite took six free ports one after the other, each freed before the next was drawn, and two could be the same one: "invalid_value at 127.0.0.1:37047: Address already in use".

Change: the six ports are drawn while all of them are held. A failed start prints its reason.

--- a/tests/support/loopback.hpp
+++ b/tests/support/loopback.hpp
@@ -10,16 +10,29 @@
 
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace knapweedchute::test {
 
+/// \brief Different ports that were free a moment ago.
+[[nodiscard]] inline auto free_ports(std::size_t count) -> std::vector<std::uint16_t>
+{
+    auto loop = boost::asio::io_context{};
+    auto acceptors = std::vector<boost::asio::ip::tcp::acceptor>{};
+    auto ports = std::vector<std::uint16_t>{};
+    const auto any_port =
+        boost::asio::ip::tcp::endpoint{boost::asio::ip::make_address_v4("127.0.0.1"), 0};
+    for (auto index = std::size_t{0}; index < count; ++index) {
+        acceptors.emplace_back(loop, any_port);
+        ports.push_back(acceptors.back().local_endpoint().port());
+    }
+    return ports;
+}
+
 /// \brief A port that was free a moment ago.
 [[nodiscard]] inline auto free_port() -> std::uint16_t
 {
-    auto loop = boost::asio::io_context{};
-    auto acceptor =
-        boost::asio::ip::tcp::acceptor{loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
-    return acceptor.local_endpoint().port();
+    return free_ports(1).front();
 }
 
 inline constexpr auto loopback_ip = 0x7f000001U;
--- a/tests/unit/entry/entry_stop_test.cpp
+++ b/tests/unit/entry/entry_stop_test.cpp
@@ -47,7 +47,7 @@
             {"t1", "s", {loopback_ip, target.local_endpoint().port()}, "a", "v1", 8, 0, false, {}});
         view.mark_targets_complete();
         auto reason = error{};
-        BOOST_REQUIRE(instance.start(reason));
+        BOOST_REQUIRE_MESSAGE(instance.start(reason), to_string(reason));
     }
 
     ~stop_fixture()
@@ -65,10 +65,12 @@
         auto values = entry_settings{};
         values.instance = "i1";
         values.availability_zone = "a";
+        const auto ports = free_ports(6);
+        auto next = ports.begin();
         for (auto* where :
              {&values.caller_address, &values.readiness_address, &values.directory_address,
               &values.admin_address, &values.peer_address, &values.store_address}) {
-            *where = {loopback_ip, free_port()};
+            *where = {loopback_ip, *next++};
         }
         values.processor_permil = 1'000;
         values.address_lifetime = seconds{1};
