Answers of targets together stay within a memory budget

What callers saw (report of other operators): a faulty target sends bytes that are no answer, without end; the process that called it runs out of memory and ends, and the requests of its other callers with it.

Cause: each exchange was bounded (4 MiB), their sum was not.

Change: memory_budget counts the bodies being received, the answers that requests keep and those being written to callers. Above a quarter of the process's memory (setting memory_limit_mb) the largest holder is evicted: the exchange ends as broken, a request with 502, a caller that does not read is disconnected. Sound answers are smaller than faulty ones, so they go on. Nothing below 16 KiB is counted, so usual requests pay nothing. A listener closes its sessions when it ends, as they use its timers and budget: a test of a caller that does not read ended by a memory access violation without it.

--- a/bench/heavy_day.cpp
+++ b/bench/heavy_day.cpp
@@ -80,7 +80,7 @@
         one.coordinator = std::make_unique<relay_coordinator>(
             steering, names, index % 2 == 0 ? "a" : "b",
             relay_dependencies{registry_, port_, timers_, one.extras, one.cold, one.versions,
-                               one.counters},
+                               one.counters, one.memory},
             seed + static_cast<std::uint64_t>(index));
     }
 }
--- a/bench/heavy_day.hpp
+++ b/bench/heavy_day.hpp
@@ -6,6 +6,7 @@
 
 #include <knapweedchute/relay/relay_coordinator.hpp>
 
+#include <limits>
 #include <memory>
 #include <random>
 #include <vector>
@@ -44,6 +45,7 @@
         cold_limiter cold{[](const auto& /*target*/) { return std::nullopt; }};
         version_monitor versions;
         counter_set counters;
+        memory_budget memory{std::numeric_limits<std::size_t>::max(), counters};
         std::unique_ptr<relay_coordinator> coordinator;
     };
 
--- a/emulator/emulated_fleet.cpp
+++ b/emulator/emulated_fleet.cpp
@@ -69,7 +69,7 @@
                   }(),
                   names,
                   zone,
-                  {owner.registry_, port, *owner.timers_, extras, cold, versions, counters},
+                  {owner.registry_, port, *owner.timers_, extras, cold, versions, counters, memory},
                   seed}
 {
     extras.set_instance_count(options.instances);
--- a/emulator/emulated_fleet.hpp
+++ b/emulator/emulated_fleet.hpp
@@ -9,6 +9,7 @@
 #include <knapweedchute/relay/relay_coordinator.hpp>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <random>
 #include <string>
@@ -75,6 +76,7 @@
         cold_limiter cold{[](const auto& /*target*/) { return std::nullopt; }};
         version_monitor versions;
         counter_set counters;
+        memory_budget memory{std::numeric_limits<std::size_t>::max(), counters};
         relay_coordinator coordinator;
     };
 
--- a/include/knapweedchute/core/counter.hpp
+++ b/include/knapweedchute/core/counter.hpp
@@ -21,6 +21,7 @@
     parts_failed,
     parts_cancelled,
     answers_rejected,
+    answers_evicted,
     targets_ejected,
     runs_sent,
     runs_refused,
--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <knapweedchute/core/counter_set.hpp>
+#include <knapweedchute/core/memory_budget.hpp>
 #include <knapweedchute/entry/cluster_view.hpp>
 #include <knapweedchute/entry/entry_interface.hpp>
 #include <knapweedchute/entry/entry_settings.hpp>
@@ -82,6 +83,7 @@
     auto run_maintenance() -> void;
     auto update_member_counts() -> void;
     auto record_loop_lag(time_point due) -> void;
+    auto log_evictions() -> void;
     auto record_peer_configuration(const std::string& peer, std::uint64_t version) -> void;
     [[nodiscard]] auto configuration_version() const -> std::uint64_t;
     auto finish_stop(time_point deadline) -> void;
@@ -98,6 +100,7 @@
     entry_settings settings_;
     entry_interface interface_;
     counter_set counters_;
+    memory_budget answer_memory_; ///< Outlives the loop, whose handlers hold reservations.
     boost::asio::io_context loop_{1};
     asio_timer_queue timers_{loop_};
     cluster_view view_;
@@ -130,6 +133,8 @@
     duration recent_max_lag_{0}; ///< Recent maximum lag of the event loop; decays over time.
     /// Whether the known members are recent enough to divide a limit that must not be exceeded.
     renewed_knowledge member_knowledge_{milliseconds{1'500}, milliseconds{1'000}};
+    std::uint64_t logged_evictions_ = 0;
+    time_point evictions_logged_at_;
     bool stopping_ = false;
     bool finishing_ = false; ///< Whether connections are no longer accepted.
 };
--- a/include/knapweedchute/entry/entry_settings.hpp
+++ b/include/knapweedchute/entry/entry_settings.hpp
@@ -29,6 +29,9 @@
     /// Time within which a change of the store must be in use: the least of the limits of routes,
     /// leaving targets and excluded zones.
     milliseconds propagation_limit{3'000};
+    std::size_t memory_limit = default_memory_limit; ///< Memory of the process, in bytes.
+
+    static constexpr auto default_memory_limit = std::size_t{256} << 20U;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/net/caller_listener.hpp
+++ b/include/knapweedchute/net/caller_listener.hpp
@@ -15,8 +15,14 @@
 class caller_listener
 {
 public:
+    /// \param memory Budget of the answers being written; null: they are not counted.
     caller_listener(boost::asio::io_context& loop, request_handler& handler, timer_queue& timers,
-                    const header_names& names);
+                    const header_names& names, memory_budget* memory = nullptr);
+    caller_listener(const caller_listener&) = delete;
+    auto operator=(const caller_listener&) -> caller_listener& = delete;
+
+    /// \brief Closes all connections, which use the timers and the budget.
+    ~caller_listener();
 
     /// \brief Starts to listen on an address.
     /// \param reason Filled on failure.
@@ -43,6 +49,7 @@
     request_handler* handler_;
     timer_queue* timers_;
     const header_names* names_;
+    memory_budget* memory_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::vector<std::weak_ptr<caller_session>> sessions_;
     bool closing_ = false;
--- a/include/knapweedchute/net/caller_session.hpp
+++ b/include/knapweedchute/net/caller_session.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <knapweedchute/core/memory_budget.hpp>
+#include <knapweedchute/core/memory_reservation.hpp>
 #include <knapweedchute/net/impl/http_library.hpp>
 #include <knapweedchute/net/request_handler.hpp>
 #include <knapweedchute/relay/header_names.hpp>
@@ -23,8 +25,9 @@
 class caller_session : public std::enable_shared_from_this<caller_session>
 {
 public:
+    /// \param memory Budget of the answers being written; null: they are not counted.
     caller_session(boost::asio::ip::tcp::socket socket, request_handler& handler,
-                   timer_queue& timers, const header_names& names);
+                   timer_queue& timers, const header_names& names, memory_budget* memory);
     ~caller_session();
     caller_session(const caller_session&) = delete;
     auto operator=(const caller_session&) -> caller_session& = delete;
@@ -41,6 +44,9 @@
         return stage_ != stage::idle && stage_ != stage::closed;
     }
 
+    /// \brief Closes the connection at once.
+    auto close() -> void;
+
     /// \brief Closes the connection if no request is in progress or partly read.
     auto close_if_idle() -> void;
 
@@ -67,10 +73,11 @@
     auto on_request() -> void;
     auto respond(const relayed_answer& answer, bool close) -> void;
     auto on_written(bool close) -> void;
+    auto release_output() -> void;
+    auto on_eviction() -> void;
     auto enter_stage(stage next) -> void;
     auto on_timeout() -> void;
     auto start_draining() -> void;
-    auto close() -> void;
     auto reset_parser() -> void;
     [[nodiscard]] auto to_request() -> relayed_request;
 
@@ -83,6 +90,7 @@
     std::array<char, 8'192> chunk_{};
     std::optional<parser> parser_;
     std::string output_;
+    std::optional<memory_reservation> memory_; ///< The answer in `output_`.
     std::uint64_t pending_request_ = 0;
     std::uint64_t serial_ = 0;
     timer_id timer_ = 0;
--- a/include/knapweedchute/net/connection_pool.hpp
+++ b/include/knapweedchute/net/connection_pool.hpp
@@ -18,8 +18,9 @@
     /// \brief Returns the number of connections that this instance may open to a target.
     using share_function = std::function<std::size_t(const target_record&)>;
 
+    /// \param memory Budget of the answers being received.
     connection_pool(boost::asio::io_context& loop, timer_queue& timers, header_names names,
-                    share_function share);
+                    share_function share, memory_budget& memory);
 
     [[nodiscard]] auto has_capacity(const target_record& target) const -> bool override;
     auto send(exchange_order order, listener done) -> exchange_id override;
@@ -50,6 +51,7 @@
     timer_queue* timers_;
     header_names names_;
     share_function share_;
+    memory_budget* memory_;
     std::unordered_map<std::string, target_pool> pools_;
     std::unordered_map<exchange_id, std::weak_ptr<target_connection>> running_;
     exchange_id next_ = 1;
--- a/include/knapweedchute/net/target_connection.hpp
+++ b/include/knapweedchute/net/target_connection.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <knapweedchute/core/memory_budget.hpp>
+#include <knapweedchute/core/memory_reservation.hpp>
 #include <knapweedchute/net/impl/http_library.hpp>
 #include <knapweedchute/relay/exchange_port.hpp>
 #include <knapweedchute/relay/header_names.hpp>
@@ -18,18 +20,20 @@
 /// \brief Connection to a target that carries one request at a time.
 ///
 /// \detail Closes when bytes arrive that belong to no request, when an answer arrives before its
-///         request was sent completely, or when it exceeds the limits of its order: a faulty target
-///         may send without end. A closed connection is never reused, nor is one whose answer could
-///         be a late copy of an earlier one.
+///         request was sent completely, when it exceeds the limits of its order, or when its memory
+///         is evicted: a faulty target may send without end. A closed connection is never reused,
+///         nor is one whose answer could be a late copy of an earlier one.
 class target_connection : public std::enable_shared_from_this<target_connection>
 {
 public:
     /// \brief Called when the connection is idle again or has closed.
     using idle_listener = std::function<void(const std::shared_ptr<target_connection>&)>;
 
-    /// \param names Names of the headers of answers.
-    /// \param idle  Called after each exchange and when the connection closes.
-    target_connection(boost::asio::io_context& loop, const header_names& names, idle_listener idle);
+    /// \param names  Names of the headers of answers.
+    /// \param idle   Called after each exchange and when the connection closes.
+    /// \param memory Budget of the bodies being received; null: only the order limits them.
+    target_connection(boost::asio::io_context& loop, const header_names& names, idle_listener idle,
+                      memory_budget* memory = nullptr);
 
     /// \brief Opens the connection and sends a first request.
     auto open(const address& where, exchange_order order, exchange_port::listener done) -> void;
@@ -62,6 +66,8 @@
     auto read_idle_limit() -> void;
     auto finish(exchange_result result) -> void;
     auto reset_parser() -> void;
+    auto reserve_memory() -> void;
+    auto on_eviction() -> void;
 
     boost::asio::ip::tcp::socket socket_;
     const header_names* names_;
@@ -69,6 +75,7 @@
     boost::beast::flat_buffer input_;
     std::array<char, 8'192> chunk_{};
     std::optional<parser> parser_;
+    std::optional<memory_reservation> memory_; ///< The body that the parser holds.
     exchange_order order_;
     exchange_port::listener done_;
     time_point idle_since_;
--- a/include/knapweedchute/relay/impl/relay_call.hpp
+++ b/include/knapweedchute/relay/impl/relay_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <knapweedchute/admission/relay_admission.hpp>
+#include <knapweedchute/core/memory_reservation.hpp>
 #include <knapweedchute/relay/exchange_port.hpp>
 #include <knapweedchute/relay/impl/trace_entry.hpp>
 #include <knapweedchute/relay/relayed_answer.hpp>
@@ -54,6 +55,8 @@
     relayed_request request;                     ///< Request of the caller.
     std::function<void(relayed_answer)> respond; ///< Receives the final answer; called once.
     std::vector<call_part> parts;                ///< One per shard; a single one for relays.
+    std::size_t kept_bytes = 0;                  ///< Bytes of the answers and failures of `parts`.
+    std::unique_ptr<memory_reservation> memory;  ///< Reservation of `kept_bytes`, once large.
     admission_request admission;                 ///< The request as seen by admission.
     call_stage stage = call_stage::waiting;      ///< Stage of the request.
     time_point started;                          ///< When the request was read.
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -3,6 +3,7 @@
 #include <knapweedchute/admission/relay_admission.hpp>
 #include <knapweedchute/admission/service_capacity.hpp>
 #include <knapweedchute/core/counter_set.hpp>
+#include <knapweedchute/core/memory_budget.hpp>
 #include <knapweedchute/relay/extra_request_window.hpp>
 #include <knapweedchute/relay/header_names.hpp>
 #include <knapweedchute/relay/impl/relay_call.hpp>
@@ -36,6 +37,7 @@
     cold_limiter& cold;           ///< Rate limit of requests to cold targets.
     version_monitor& versions;    ///< Counts request outcomes of services in rollout.
     counter_set& counters;        ///< Event counters.
+    memory_budget& memory;        ///< Budget of the answers that are kept.
 };
 
 /// \brief Sends callers' requests to targets and returns the answers.
@@ -139,6 +141,9 @@
     auto hedge_part(const shared_call& call, std::size_t index) -> void;
     auto on_goal(const shared_call& call) -> void;
     auto on_deadline(const shared_call& call) -> void;
+    auto keep_answer(const shared_call& call, std::optional<relayed_answer>& kept,
+                     relayed_answer answer) -> void;
+    auto on_eviction(const shared_call& call) -> void;
     auto finish_if_done(const shared_call& call) -> void;
     auto finish_query(const shared_call& call, bool timed_out) -> void;
     auto finish_relay(const shared_call& call, bool timed_out) -> void;
@@ -159,6 +164,7 @@
     cold_limiter* cold_;
     version_monitor* versions_;
     counter_set* counters_;
+    memory_budget* memory_;
     target_selector selector_;
     route_latency route_latency_;
     weighted_split split_;
--- a/src/core/counter.cpp
+++ b/src/core/counter.cpp
@@ -18,6 +18,7 @@
     {counter::parts_failed, "parts_failed"},
     {counter::parts_cancelled, "parts_cancelled"},
     {counter::answers_rejected, "answers_rejected"},
+    {counter::answers_evicted, "answers_evicted"},
     {counter::targets_ejected, "targets_ejected"},
     {counter::runs_sent, "runs_sent"},
     {counter::runs_refused, "runs_refused"},
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -37,6 +37,10 @@
 /// Time within the stop margin in which the last answers are written.
 constexpr auto flush_limit = milliseconds{300};
 constexpr auto stop_poll_interval = milliseconds{20};
+/// Fraction of the process's memory for answers of targets, from their first byte until they are
+/// written to their callers.
+constexpr auto answer_memory_fraction = 0.25;
+constexpr auto eviction_log_interval = seconds{10};
 /// The recorded maximum lag of the event loop decays to about a third in this time.
 constexpr auto lag_decay_time = std::chrono::duration<double>(10.0);
 constexpr auto status_ok = 200U;
@@ -60,25 +64,28 @@
 
 entry_instance::entry_instance(const entry_settings& values, entry_interface interface,
                                std::uint64_t incarnation)
-    : settings_{values}, interface_{std::move(interface)}, view_{incarnation},
-      peers_{loop_, timers_, make_self(values, incarnation), values.seeds,
-             make_peer_envelope(values)},
+    : settings_{values}, interface_{std::move(interface)},
+      answer_memory_{static_cast<std::size_t>(static_cast<double>(values.memory_limit) *
+                                              answer_memory_fraction),
+                     counters_},
+      view_{incarnation}, peers_{loop_, timers_, make_self(values, incarnation), values.seeds,
+                                 make_peer_envelope(values)},
       rollout_driver_{timers_, view_.rollouts(), peers_}, extras_{values.extras},
       cold_limiter_{[this](const auto& target) { return cold_share(target); }},
       pool_{loop_, timers_, interface_.headers,
-            [this](const auto& target) { return connection_share(target); }},
-      coordinator_{
-          {},
-          interface_.headers,
-          values.availability_zone,
-          {view_.targets(), pool_, timers_, extras_, cold_limiter_, view_.versions(), counters_},
-          incarnation},
+            [this](const auto& target) { return connection_share(target); }, answer_memory_},
+      coordinator_{{},
+                   interface_.headers,
+                   values.availability_zone,
+                   {view_.targets(), pool_, timers_, extras_, cold_limiter_, view_.versions(),
+                    counters_, answer_memory_},
+                   incarnation},
       address_selector_{incarnation}, relay_{view_, coordinator_},
       readiness_{{{interface_.readiness_path, [this](const auto&) { return answer_readiness(); }}}},
       directory_{{{interface_.addresses_path, [this](const auto&) { return answer_addresses(); }}}},
       admin_{{{"/metrics", [this](const auto&) { return answer_metrics(); }},
               {"/state", [this](const auto&) { return answer_state(); }}}},
-      caller_listener_{loop_, relay_, timers_, interface_.headers},
+      caller_listener_{loop_, relay_, timers_, interface_.headers, &answer_memory_},
       readiness_listener_{loop_, readiness_, timers_, interface_.headers},
       directory_listener_{loop_, directory_, timers_, interface_.headers},
       admin_listener_{loop_, admin_, timers_, interface_.headers},
@@ -168,6 +175,7 @@
     compare("peer_address", settings_.peer_address, values.peer_address);
     compare("store_address", settings_.store_address, values.store_address);
     compare("propagation_limit", settings_.propagation_limit, values.propagation_limit);
+    compare("memory_limit", settings_.memory_limit, values.memory_limit);
     compare("processor_share", settings_.processor_permil, values.processor_permil);
     extras_.set_limits(values.extras);
     settings_.extras = values.extras;
@@ -234,6 +242,7 @@
     coordinator_.remove_unused_groups(now - admission_state_retention);
     cold_limiter_.remove_before(now - cold_state_retention);
     update_member_counts();
+    log_evictions();
     if (!stopping_ && view_.ready() && peers_.self().state == member_state::joining) {
         peers_.announce(member_state::alive);
         log_line.info("Serving callers.");
@@ -252,6 +261,20 @@
         std::max<duration>(lag, std::chrono::duration_cast<duration>(recent_max_lag_ * decay));
 }
 
+auto entry_instance::log_evictions() -> void
+{
+    const auto evicted = counters_.value(counter::answers_evicted);
+    const auto now = timers_.now();
+    if (evicted == logged_evictions_ || now - evictions_logged_at_ < eviction_log_interval) {
+        return;
+    }
+    log_line.warning("Answers evicted.", {{"count", std::to_string(evicted - logged_evictions_)},
+                                          {"held_bytes", std::to_string(answer_memory_.held())},
+                                          {"limit_bytes", std::to_string(answer_memory_.limit())}});
+    logged_evictions_ = evicted;
+    evictions_logged_at_ = now;
+}
+
 auto entry_instance::update_member_counts() -> void
 {
     const auto now = timers_.now();
--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -62,6 +62,11 @@
     text += gauge_text("requests_waiting", "", static_cast<double>(coordinator_.waiting()));
     text += gauge_text("loop_lag_seconds", "", seconds_of(recent_max_lag_));
     text += gauge_text("memory_peak_bytes", "", static_cast<double>(usage.ru_maxrss) * 1024.0);
+    text += gauge_text("answer_memory_bytes", "", static_cast<double>(answer_memory_.held()));
+    text +=
+        gauge_text("answer_memory_peak_bytes", "", static_cast<double>(answer_memory_.highest()));
+    text +=
+        gauge_text("answer_memory_limit_bytes", "", static_cast<double>(answer_memory_.limit()));
     text += gauge_text("log_lines_lost", "", static_cast<double>(lost_log_lines()));
     return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)};
 }
--- a/src/entry/entry_settings_reader.cpp
+++ b/src/entry/entry_settings_reader.cpp
@@ -13,6 +13,10 @@
 constexpr auto max_cores = 1'024.0;
 constexpr auto permil = 1'000.0;
 constexpr auto max_extra_allowance = 1e6;
+constexpr auto mebibyte = std::int64_t{1'048'576};
+/// Less leaves no room for answers beside what the process always holds.
+constexpr auto min_memory_mb = std::int64_t{64};
+constexpr auto max_memory_mb = std::int64_t{1'048'576};
 
 auto read_settings(object_reader& reader) -> entry_settings
 {
@@ -45,6 +49,11 @@
     };
     value.propagation_limit = std::min({read_limit("configuration_limit_ms"),
                                         read_limit("drain_limit_ms"), read_limit("zone_limit_ms")});
+    constexpr auto default_memory_mb =
+        static_cast<std::int64_t>(entry_settings::default_memory_limit) / mebibyte;
+    value.memory_limit =
+        static_cast<std::size_t>(mebibyte * reader.integer_or("memory_limit_mb", min_memory_mb,
+                                                              max_memory_mb, default_memory_mb));
     value.extras.window = read_seconds("extra_window_s");
     value.extras.ratio = reader.number("extra_ratio", 0.0, 1.0);
     value.processor_permil =
--- a/src/net/caller_listener.cpp
+++ b/src/net/caller_listener.cpp
@@ -17,11 +17,22 @@
 } // namespace
 
 caller_listener::caller_listener(boost::asio::io_context& loop, request_handler& handler,
-                                 timer_queue& timers, const header_names& names)
-    : loop_{&loop}, handler_{&handler}, timers_{&timers}, names_{&names}, acceptor_{loop}
+                                 timer_queue& timers, const header_names& names,
+                                 memory_budget* memory)
+    : loop_{&loop}, handler_{&handler}, timers_{&timers}, names_{&names}, memory_{memory},
+      acceptor_{loop}
 {
 }
 
+caller_listener::~caller_listener()
+{
+    for (const auto& session : sessions_) {
+        if (const auto alive = session.lock()) {
+            alive->close();
+        }
+    }
+}
+
 auto caller_listener::open(const address& where, error& reason) -> bool
 {
     const auto endpoint = tcp::endpoint{boost::asio::ip::address_v4{where.ip}, where.port};
@@ -62,7 +73,7 @@
 auto caller_listener::start_session(tcp::socket socket) -> void
 {
     const auto session =
-        std::make_shared<caller_session>(std::move(socket), *handler_, *timers_, *names_);
+        std::make_shared<caller_session>(std::move(socket), *handler_, *timers_, *names_, memory_);
     sessions_.push_back(session);
     remove_ended_sessions();
     if (closing_) {
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -4,6 +4,7 @@
 #include <knapweedchute/net/caller_session.hpp>
 #include <knapweedchute/relay/refusal_answer.hpp>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <charconv>
@@ -23,15 +24,19 @@
 } // namespace
 
 caller_session::caller_session(boost::asio::ip::tcp::socket socket, request_handler& handler,
-                               timer_queue& timers, const header_names& names)
+                               timer_queue& timers, const header_names& names,
+                               memory_budget* memory)
     : socket_{std::move(socket)}, handler_{&handler}, timers_{&timers}, names_{&names},
       limits_{handler.limits()}
 {
+    if (memory != nullptr) {
+        memory_.emplace(*memory, [this] { on_eviction(); });
+    }
 }
 
 caller_session::~caller_session()
 {
-    timers_->cancel(timer_);
+    close();
 }
 
 auto caller_session::start() -> void
@@ -200,6 +205,9 @@
 {
     close = close || closing_;
     output_ = encode_answer(answer, head_only_, close);
+    if (memory_) {
+        memory_->resize(output_.capacity());
+    }
     enter_stage(stage::writing);
     boost::asio::async_write(socket_, boost::asio::buffer(output_),
                              [self = shared_from_this(), close](const auto& failure, std::size_t) {
@@ -213,6 +221,7 @@
 
 auto caller_session::on_written(bool close) -> void
 {
+    release_output();
     if (close) {
         start_draining();
         return;
@@ -223,6 +232,26 @@
     read();
 }
 
+auto caller_session::release_output() -> void
+{
+    // A connection that is kept must not keep the buffer of its largest answer.
+    if (output_.capacity() >= memory_reservation::min_reserved) {
+        std::string{}.swap(output_);
+    }
+    if (memory_) {
+        memory_->resize(0);
+    }
+}
+
+auto caller_session::on_eviction() -> void
+{
+    boost::asio::post(socket_.get_executor(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->close();
+        }
+    });
+}
+
 auto caller_session::enter_stage(stage next) -> void
 {
     const auto same_header = next == stage_ && next == stage::header;
@@ -274,6 +303,9 @@
         return;
     }
     enter_stage(stage::closed);
+    if (memory_) {
+        memory_->resize(0);
+    }
     auto ignored = boost::system::error_code{};
     socket_.close(ignored);
 }
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -26,8 +26,9 @@
 } // namespace
 
 connection_pool::connection_pool(boost::asio::io_context& loop, timer_queue& timers,
-                                 header_names names, share_function share)
-    : loop_{&loop}, timers_{&timers}, names_{std::move(names)}, share_{std::move(share)}
+                                 header_names names, share_function share, memory_budget& memory)
+    : loop_{&loop}, timers_{&timers}, names_{std::move(names)}, share_{std::move(share)},
+      memory_{&memory}
 {
 }
 
@@ -139,7 +140,7 @@
     to.open += 1;
     return std::make_shared<target_connection>(
         *loop_, names_,
-        [this, id = to.target->id](const auto& connection) { release(id, connection); });
+        [this, id = to.target->id](const auto& connection) { release(id, connection); }, memory_);
 }
 
 auto connection_pool::limit_connect_time(exchange_id exchange) -> void
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <knapweedchute/net/target_connection.hpp>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <charconv>
@@ -23,9 +24,12 @@
 } // namespace
 
 target_connection::target_connection(boost::asio::io_context& loop, const header_names& names,
-                                     idle_listener idle)
+                                     idle_listener idle, memory_budget* memory)
     : socket_{loop}, names_{&names}, idle_listener_{std::move(idle)}
 {
+    if (memory != nullptr) {
+        memory_.emplace(*memory, [this] { on_eviction(); });
+    }
 }
 
 auto target_connection::open(const address& where, exchange_order order,
@@ -116,10 +120,27 @@
         close(exchange_status::broken);
     }
     if (!closed_) {
+        reserve_memory();
         read();
     }
 }
 
+auto target_connection::reserve_memory() -> void
+{
+    if (memory_ && done_) {
+        memory_->resize(parser_->get().body().capacity());
+    }
+}
+
+auto target_connection::on_eviction() -> void
+{
+    boost::asio::post(socket_.get_executor(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->close(exchange_status::broken);
+        }
+    });
+}
+
 auto target_connection::exceeds_limits() const -> bool
 {
     return received_bytes_ > order_.max_answer_bytes || input_.size() > max_unparsed_bytes ||
@@ -222,6 +243,10 @@
 auto target_connection::finish(exchange_result result) -> void
 {
     idle_since_ = steady_clock::now();
+    if (memory_) {
+        memory_->resize(0);
+        reusable_ = reusable_ && !memory_->evicted();
+    }
     result.reused_connection = finished_exchanges_ > 0;
     finished_exchanges_ += 1;
     const auto done = std::exchange(done_, nullptr);
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -53,12 +53,9 @@
     : policy_{policy}, names_{std::move(names)}, registry_{&dependencies.registry},
       port_{&dependencies.port}, timers_{&dependencies.timers}, extras_{&dependencies.extras},
       cold_{&dependencies.cold}, versions_{&dependencies.versions},
-      counters_{&dependencies.counters}, selector_{policy,
-                                                   own_zone,
-                                                   dependencies.registry,
-                                                   dependencies.port,
-                                                   dependencies.cold,
-                                                   seed},
+      counters_{&dependencies.counters}, memory_{&dependencies.memory},
+      selector_{policy, own_zone, dependencies.registry, dependencies.port, dependencies.cold,
+                seed},
       capacity_{dependencies.registry}, admission_{seed}, log_{dependencies.counters},
       created_at_{dependencies.timers.now()}
 {
@@ -219,7 +216,7 @@
         part.rejected =
             part.rejected || (result.status == exchange_status::not_run && !result.never_sent);
         if (useful) {
-            part.answer = std::move(result.answer);
+            keep_answer(call, part.answer, std::move(result.answer));
             for (const auto& [other, since] : part.open_exchanges) {
                 counters_->add(counter::parts_cancelled);
                 port_->cancel(other);
@@ -250,7 +247,7 @@
     auto& part = call->parts[index];
     counters_->add(counter::parts_failed);
     if (may_pass_on(result)) {
-        part.failure = result.answer;
+        keep_answer(call, part.failure, result.answer);
     }
     if (result.never_sent) {
         part.unsent += 1;
--- a/src/relay/relay_finish.cpp
+++ b/src/relay/relay_finish.cpp
@@ -1,4 +1,4 @@
-// Member functions of relay_coordinator that end requests.
+// Member functions of relay_coordinator that keep answers and end requests.
 #include <knapweedchute/relay/record_merge.hpp>
 #include <knapweedchute/relay/refusal_answer.hpp>
 #include <knapweedchute/relay/relay_coordinator.hpp>
@@ -11,11 +11,37 @@
 
 constexpr auto status_success = 200U;
 constexpr auto status_server_error = 500U;
+constexpr auto bad_gateway = 502U;
 /// Coverage that meets the minimum exactly must not fail because of rounding.
 constexpr auto rounding_tolerance = 1e-9;
 
 } // namespace
 
+auto relay_coordinator::keep_answer(const shared_call& call, std::optional<relayed_answer>& kept,
+                                    relayed_answer answer) -> void
+{
+    call->kept_bytes -= kept ? kept->body.capacity() : 0;
+    call->kept_bytes += answer.body.capacity();
+    kept = std::move(answer);
+    if (!call->memory && call->kept_bytes >= memory_reservation::min_reserved) {
+        const auto evict = [this, weak = std::weak_ptr{call}] {
+            if (const auto evicted = weak.lock()) {
+                schedule(evicted, timers_->now(), &relay_coordinator::on_eviction);
+            }
+        };
+        call->memory = std::make_unique<memory_reservation>(*memory_, evict);
+    }
+    if (call->memory) {
+        call->memory->resize(call->kept_bytes);
+    }
+}
+
+auto relay_coordinator::on_eviction(const shared_call& call) -> void
+{
+    counters_->add(counter::queries_refused);
+    finish_call(call, error_answer(bad_gateway, "answers exceed the memory for them"));
+}
+
 auto relay_coordinator::finish_if_done(const shared_call& call) -> void
 {
     if (call->ended()) {
@@ -96,7 +122,6 @@
 
 auto relay_coordinator::failure_answer(const call_state& call, bool timed_out) -> relayed_answer
 {
-    constexpr auto bad_gateway = 502U;
     constexpr auto gateway_timeout = 504U;
     const auto may_have_run =
         std::any_of(call.parts.begin(), call.parts.end(), [](const part_state& part) {
--- a/src/relay/relay_start.cpp
+++ b/src/relay/relay_start.cpp
@@ -217,6 +217,7 @@
     }
     counters_->add(counter::parts_cancelled, open_exchanges.size());
     calls_.erase(call->id);
+    call->memory.reset();
     const auto cancel_exchanges = [port = port_, open_exchanges] {
         for (const auto exchange : open_exchanges) {
             port->cancel(exchange);
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -48,7 +48,7 @@
  "admin_address": "127.0.0.1:$(($1 + 3))", "peer_address": "127.0.0.1:$(($1 + 4))", "seeds": [],
  "processor_share": 0.25, "cores": 1, "store_address": "127.0.0.1:$(($1 + 5))",
  "address_lifetime_ms": 200, "stop_grace_s": 3, "extra_window_s": 10, "extra_ratio": 0.2,
- "extra_allowance": 58}
+ "extra_allowance": 58, "memory_limit_mb": 260}
 JSON
 }
 export KNAPWEEDCTL_OPERATOR_KEY=process-test-key-02
--- a/tests/process/entry_daemon.sh
+++ b/tests/process/entry_daemon.sh
@@ -7,7 +7,7 @@
     [ $# = 0 ] || sed -i "s|\"$1\": [^,}]*|\"$1\": $2|" "$work/entry.json"
 }
 faults() { "$bin/knapweedchute-entryd" --check-settings --settings "$work/entry.json" 2>&1 || true; }
-for bad in 'caller_address "nowhere"' 'extra_ratio 7' 'stop_grace_s "soon"' 'seeds ["x"]'; do
+for bad in 'caller_address "nowhere"' 'extra_ratio 7' 'stop_grace_s "soon"' 'seeds ["x"]' 'memory_limit_mb 1'; do
     settings ${bad%% *} "${bad#* }"
     faults | grep -q "/${bad%% *}" || fail "fault of ${bad%% *} is not named: $(faults)"
 done
--- a/tests/soak/entry_process.cpp
+++ b/tests/soak/entry_process.cpp
@@ -5,6 +5,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <fstream>
+#include <string_view>
 #include <utility>
 
 namespace knapweedchute::soak {
@@ -54,6 +56,19 @@
     }
 }
 
+auto entry_process::peak_memory_bytes() const -> std::size_t
+{
+    constexpr auto key = std::string_view{"VmHWM:"};
+    constexpr auto kibibyte = std::size_t{1'024};
+    auto status = std::ifstream{"/proc/" + std::to_string(process_) + "/status"};
+    for (auto line = std::string{}; std::getline(status, line);) {
+        if (line.starts_with(key)) {
+            return std::stoul(line.substr(key.size())) * kibibyte;
+        }
+    }
+    return 0;
+}
+
 auto entry_process::running() -> bool
 {
     auto status = 0;
--- a/tests/soak/soak_calm.cpp
+++ b/tests/soak/soak_calm.cpp
@@ -40,14 +40,21 @@
     move_version();
     stop_all();
     checker_.check_runs(runs_);
-    std::copy(checker_.faults().begin(), checker_.faults().end(), std::back_inserter(faults_));
+    const auto all = all_faults();
     std::cout << "seed " << options_.seed << ", requests " << next_request_ - 1 << ", versions "
               << version_ << ", faults";
     for (const auto& [name, count] : faults_drawn_) {
         std::cout << ' ' << name << '=' << count;
     }
     std::cout << '\n';
-    return faults_;
+    return all;
+}
+
+auto soak_world::all_faults() -> std::vector<std::string>
+{
+    auto all = faults_;
+    std::copy(checker_.faults().begin(), checker_.faults().end(), std::back_inserter(all));
+    return all;
 }
 
 auto soak_world::calm_down() -> void
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -19,13 +19,15 @@
     app.add_option("--seed", options.seed, "Seed of everything that is drawn");
     app.add_option("--seconds", seconds_of_faults, "How long faults are drawn")
         ->check(CLI::Range(1, 3'600));
+    app.add_flag("--endless", options.endless,
+                 "Targets that send answers without end in place of drawn faults");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     options.faults = seconds{seconds_of_faults};
     options.work = work;
     std::filesystem::create_directories(options.work);
     auto world = soak::soak_world{options};
-    const auto faults = world.run();
+    const auto faults = options.endless ? world.run_endless() : world.run();
     for (const auto& fault : faults) {
         std::cout << "broken: " << fault << '\n';
     }
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -16,6 +16,11 @@
 constexpr auto store_host = std::uint32_t{1};
 constexpr auto first_entry_host = std::uint32_t{10};
 constexpr auto first_target_host = std::uint32_t{60};
+constexpr auto first_endless_host = std::uint32_t{200};
+constexpr auto endless_target_count = std::uint32_t{12};
+constexpr auto endless_target_slots = 32;
+constexpr auto endless_timeout_ms = 2'500;
+const auto endless_service = std::string{"endless"};
 constexpr auto port = std::uint16_t{24'300};
 constexpr auto shards = 6;
 /// Services of configured requests whose targets have faults.
@@ -85,6 +90,9 @@
         add_target(answer_checker::configured_service(index), "b", "v1");
         faulty_targets_ = index < faulty_configured_services ? targets_.size() : faulty_targets_;
     }
+    if (options_.endless) {
+        add_endless_targets();
+    }
     write_configuration();
     for (auto index = std::size_t{0}; index < entries; ++index) {
         add_entry(zones.at(index % zones.size()));
@@ -113,6 +121,33 @@
     return added;
 }
 
+auto soak_world::add_endless_targets() -> void
+{
+    for (auto index = std::uint32_t{0}; index < endless_target_count; ++index) {
+        const auto where = address{network_ | (first_endless_host + index), port};
+        endless_targets_.add(where, index % 2 == 0);
+        endless_addresses_.push_back(where);
+    }
+    endless_targets_.start();
+}
+
+auto soak_world::write_endless_targets() -> void
+{
+    for (auto index = std::size_t{0}; index < endless_addresses_.size(); ++index) {
+        store_.put("servers/x" + std::to_string(index),
+                   nlohmann::json{{"service", endless_service},
+                                  {"address", to_string(endless_addresses_.at(index))},
+                                  {"zone", "b"},
+                                  {"version", "v1"},
+                                  {"slots", endless_target_slots},
+                                  {"state", "ready"},
+                                  {"coldRemainingMs", 0},
+                                  {"sequence", sequence_},
+                                  {"born", 1}}
+                       .dump());
+    }
+}
+
 auto soak_world::write_target(const placed_target& of) -> void
 {
     store_.put("servers/" + of.target->id(), nlohmann::json{{"service", of.target->service()},
@@ -135,6 +170,7 @@
             write_target(one);
         }
     }
+    write_endless_targets();
     later(heartbeat_interval, [this] { write_heartbeats(); });
 }
 
@@ -150,13 +186,16 @@
     moved["service"] = "m";
     auto chosen = route_of("conf", "idempotent");
     chosen["service"] = answer_checker::configured_service(version_);
-    auto services = nlohmann::json::array();
+    auto endless = route_of("endless", "idempotent");
+    endless["service"] = endless_service;
+    endless["timeoutMs"] = endless_timeout_ms;
+    auto services = nlohmann::json::array({{{"name", endless_service}, {"maxConnections", 40}}});
     for (const auto& one : targets_) {
         services.push_back({{"name", one.target->service()}, {"maxConnections", 40}});
     }
     checker_.on_version(version_);
     store_.put("op/config", nlohmann::json{{"version", version_},
-                                           {"routes", {query, once, moved, chosen}},
+                                           {"routes", {query, once, moved, chosen, endless}},
                                            {"services", services},
                                            {"limits", {{"idleTimeoutMs", 15'000}}}}
                                 .dump());
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "answer_checker.hpp"
+#include "endless_targets.hpp"
 #include "entry_process.hpp"
 #include "store_stand_in.hpp"
 #include "target_stand_in.hpp"
@@ -28,6 +29,7 @@
     std::filesystem::path work;  ///< Folder for settings and logs.
     std::uint64_t seed = 1;      ///< Seed of everything that is drawn.
     milliseconds faults{20'000}; ///< How long faults are drawn.
+    bool endless = false;        ///< Whether a service has targets that send without end.
 };
 
 /// \brief A store, targets and callers in this process, entry daemons in processes of their own.
@@ -40,6 +42,10 @@
     /// \returns Everything that broke a rule.
     [[nodiscard]] auto run() -> std::vector<std::string>;
 
+    /// \brief Sends requests also to targets that send answers without end; needs `endless`.
+    /// \returns Everything that broke a rule.
+    [[nodiscard]] auto run_endless() -> std::vector<std::string>;
+
 private:
     /// \brief One target with its listener, and what it writes of itself.
     struct placed_target
@@ -70,14 +76,18 @@
 
     auto add_target(const std::string& service, const std::string& zone, const std::string& version)
         -> placed_target&;
+    auto add_endless_targets() -> void;
     auto add_entry(const std::string& zone) -> void;
     auto add_callers(std::size_t instance) -> void;
     auto write_settings(const std::filesystem::path& path, const std::string& name,
                         const std::string& zone, std::uint32_t ip) const -> void;
     auto write_configuration() -> void;
     auto write_target(const placed_target& of) -> void;
+    auto write_endless_targets() -> void;
     auto write_heartbeats() -> void;
     auto ask(std::size_t index) -> void;
+    auto ask_endless(std::size_t index) -> void;
+    [[nodiscard]] auto all_faults() -> std::vector<std::string>;
     auto draw_fault() -> void;
     auto keep_running() -> void;
     auto pass(duration time) -> void;
@@ -125,6 +135,9 @@
     std::vector<std::uint64_t> lifetimes_;
     std::vector<address> caller_addresses_;
     std::vector<caller> callers_;
+    endless_targets endless_targets_;
+    std::vector<address> endless_addresses_;
+    std::vector<std::unique_ptr<call_client>> endless_callers_;
     answer_checker checker_;
     std::map<request_kind, counted> counts_;
     std::map<std::string, std::size_t> faults_drawn_;
--- a/tests/unit/net/caller_session_test.cpp
+++ b/tests/unit/net/caller_session_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <vector>
 
 using namespace knapweedchute;
 using namespace knapweedchute::test;
@@ -26,6 +27,10 @@
             held = std::move(respond);
             return 7;
         }
+        if (request.target == "/large") {
+            respond({200, {}, std::string(large_answer, 'x')});
+            return 0;
+        }
         respond({200, request.fields, request.method + " " + request.target + " " + request.body});
         return 0;
     }
@@ -35,6 +40,9 @@
         return {400, 64, milliseconds{150}, idle_timeout.load()};
     }
 
+    /// More than the socket buffers between listener and caller hold.
+    static constexpr auto large_answer = std::size_t{24} << 20U;
+
     responder held;
     std::atomic<int> handled{0};
     std::atomic<int> cancelled{0};
@@ -46,7 +54,9 @@
     boost::asio::io_context loop;
     asio_timer_queue timers{loop};
     echo_handler handler;
-    caller_listener listener{loop, handler, timers, names};
+    counter_set counters;
+    memory_budget memory{2 * echo_handler::large_answer, counters};
+    caller_listener listener{loop, handler, timers, names, &memory};
     std::uint16_t port = free_port();
     std::thread thread;
 
@@ -176,4 +186,23 @@
     BOOST_TEST(handler.cancelled == 1);
 }
 
+BOOST_AUTO_TEST_CASE(callers_that_do_not_read_large_answers_are_closed_and_others_are_served)
+{
+    handler.idle_timeout = milliseconds{5'000};
+    auto callers_loop = boost::asio::io_context{};
+    auto silent = std::vector<boost::asio::ip::tcp::socket>{};
+    for (auto index = 0; index < 3; ++index) {
+        auto& socket = silent.emplace_back(callers_loop);
+        socket.connect({boost::asio::ip::make_address_v4("127.0.0.1"), port});
+        boost::asio::write(
+            socket, boost::asio::buffer(std::string{"GET /large HTTP/1.1\r\nHost: h\r\n\r\n"}));
+        BOOST_TEST(status_of("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n") == "200");
+    }
+    BOOST_TEST(counters.value(counter::answers_evicted) >= 1U);
+    auto received = std::string{};
+    auto failure = boost::system::error_code{};
+    boost::asio::read(silent.front(), boost::asio::dynamic_buffer(received), failure);
+    BOOST_TEST(received.size() < echo_handler::large_answer);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/net/target_connection_test.cpp
+++ b/tests/unit/net/target_connection_test.cpp
@@ -60,7 +60,8 @@
 
     /// Sends one request to a target that answers with `prefix` and then repeats `more` until the
     /// connection closes; returns the bytes that it could send.
-    auto send_to_endless_target(const std::string& prefix, const std::string& more) -> std::size_t
+    auto send_to_endless_target(const std::string& prefix, const std::string& more,
+                                memory_budget* memory = nullptr) -> std::size_t
     {
         auto acceptor = boost::asio::ip::tcp::acceptor{
             loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
@@ -78,7 +79,8 @@
                 sent += boost::asio::write(socket, boost::asio::buffer(block), failure);
             }
         }};
-        connection = std::make_shared<target_connection>(loop, names, [](const auto& /*idle*/) {});
+        connection = std::make_shared<target_connection>(
+            loop, names, [](const auto& /*idle*/) {}, memory);
         auto order = exchange_order{nullptr, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "r1", true, true};
         order.max_answer_bytes = endless_limit;
         connection->open({loopback_ip, acceptor.local_endpoint().port()}, std::move(order),
@@ -267,6 +269,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answer_above_the_memory_of_all_answers_is_broken_and_its_bytes_are_returned)
+{
+    constexpr auto memory_limit = endless_limit / 4;
+    auto counters = counter_set{};
+    auto memory = memory_budget{memory_limit, counters};
+    send_to_endless_target("HTTP/1.1 200 OK\r\nId: r1\r\n\r\n", "x", &memory);
+    BOOST_TEST((result->status == exchange_status::broken));
+    BOOST_TEST(!result->never_sent);
+    BOOST_TEST(was_closed);
+    BOOST_TEST(counters.value(counter::answers_evicted) == 1U);
+    BOOST_TEST(memory.highest() <= memory_limit);
+    BOOST_TEST(memory.held() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(answer_followed_by_bytes_without_end_is_complete_and_the_connection_closes)
 {
     send_to_endless_target("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nab", "x");
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -48,8 +48,9 @@
     cold_limiter cold{[this](const auto& /*target*/) { return cold_share; }};
     version_monitor versions;
     counter_set counters;
+    memory_budget memory{1'000'000, counters};
     relay_coordinator coordinator{
-        {}, names, "a", {registry, port, timers, extras, cold, versions, counters}, 1};
+        {}, names, "a", {registry, port, timers, extras, cold, versions, counters, memory}, 1};
     std::vector<relayed_answer> answers;
 
     relay_fixture()
@@ -244,6 +245,45 @@
     BOOST_TEST(port.sent_to("s0-x") + port.sent_to("s0-y") == 6U);
 }
 
+// Faulty targets' answers filled the memory of the process, which ended with all its requests.
+BOOST_AUTO_TEST_CASE(query_whose_kept_answers_exceed_the_memory_fails_and_other_requests_go_on)
+{
+    port.answer = [](const auto& order) {
+        auto reply = reply_to(order);
+        if (order.target->service == "one") {
+            reply.after = milliseconds{50};
+        } else if (order.target->service == "s3") {
+            reply.after = milliseconds{100};
+        } else {
+            reply.result.answer.body.assign(400'000, 'x');
+        }
+        return reply;
+    };
+    start_request("/one/x");
+    start_request("/q/x");
+    timers.advance(milliseconds{10});
+    BOOST_TEST(single_answer().status == 502U);
+    BOOST_TEST(memory.held() == 0U);
+    timers.advance(milliseconds{200});
+    BOOST_REQUIRE(answers.size() == 2U);
+    BOOST_TEST(answers.back().status == 200U);
+    BOOST_TEST(coordinator.in_progress() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(query_within_the_memory_returns_its_bytes_at_its_end)
+{
+    port.answer = [](const auto& order) {
+        auto reply = reply_to(order);
+        reply.result.answer.body.assign(200'000, 'x');
+        return reply;
+    };
+    start_request("/q/x");
+    timers.advance(milliseconds{200});
+    BOOST_TEST(single_answer().status == 200U);
+    BOOST_TEST(memory.highest() >= 600'000U);
+    BOOST_TEST(memory.held() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(relay_answer_is_returned_unchanged)
 {
     start_request("/one/x");
