A target whose answer exceeds a limit is not sent requests for two seconds

Change: an exchange result says whether a limit was exceeded (of the exchange, the parser or the memory of all answers), and the target then pauses as after Retry-After. If all targets of a service pause, requests are refused at once as not run, unless a pause ends in time.

--- a/include/knapweedchute/net/target_connection.hpp
+++ b/include/knapweedchute/net/target_connection.hpp
@@ -68,6 +68,7 @@
     auto reset_parser() -> void;
     auto reserve_memory() -> void;
     auto on_eviction() -> void;
+    auto close_oversized() -> void;
 
     boost::asio::ip::tcp::socket socket_;
     const header_names* names_;
@@ -87,6 +88,7 @@
     bool written_ = false;
     bool closed_ = false;
     bool reusable_ = true;
+    bool oversized_ = false; ///< Whether an answer exceeded a limit.
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/exchange_result.hpp
+++ b/include/knapweedchute/relay/exchange_result.hpp
@@ -34,6 +34,7 @@
     relayed_answer answer;                             ///< The answer, for `answered`.
     bool reused_connection = false; ///< Whether the connection served earlier requests.
     bool never_sent = false;        ///< Whether no byte was sent, for `not_run`.
+    bool oversized = false;         ///< Whether the answer exceeded a limit, for `broken`.
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/target_backoff.hpp
+++ b/include/knapweedchute/relay/target_backoff.hpp
@@ -11,7 +11,9 @@
 
 namespace knapweedchute {
 
-/// \brief Remembers which targets asked not to be sent anything for some time.
+/// \brief Remembers which targets are not sent anything for some time.
+/// \detail A target asks for a pause by 503 with `Retry-After`; one that sends without end gets
+/// one.
 class target_backoff
 {
 public:
@@ -19,6 +21,9 @@
     auto on_answer(const target_record& target, const relayed_answer& answer, time_point now)
         -> void;
 
+    /// \brief Records an answer that exceeded a limit: it starts or extends a pause.
+    auto on_oversized(const target_record& target, time_point now) -> void;
+
     /// \brief Returns the end of a target's pause, or nothing if it may be sent requests.
     [[nodiscard]] auto end(const target_record& target, time_point now) const
         -> std::optional<time_point>;
@@ -29,10 +34,12 @@
 private:
     struct pause
     {
-        std::int64_t start_unix_ms = 0; ///< Lifetime of the target that asked for it.
+        std::int64_t start_unix_ms = 0; ///< Lifetime of the target that it is for.
         time_point end;
     };
 
+    auto pause_until(const target_record& target, time_point end) -> void;
+
     std::unordered_map<std::string, pause> pauses_;
 };
 
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -117,7 +117,7 @@
     received_bytes_ += count;
     parse();
     if (!closed_ && done_ && exceeds_limits()) {
-        close(exchange_status::broken);
+        close_oversized();
     }
     if (!closed_) {
         reserve_memory();
@@ -136,11 +136,17 @@
 {
     boost::asio::post(socket_.get_executor(), [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
-            self->close(exchange_status::broken);
+            self->close_oversized();
         }
     });
 }
 
+auto target_connection::close_oversized() -> void
+{
+    oversized_ = true;
+    close(exchange_status::broken);
+}
+
 auto target_connection::exceeds_limits() const -> bool
 {
     return received_bytes_ > order_.max_answer_bytes || input_.size() > max_unparsed_bytes ||
@@ -156,6 +162,7 @@
             return;
         }
         if (failure) {
+            oversized_ = failure == http::error::header_limit || failure == http::error::body_limit;
             close(exchange_status::broken);
             return;
         }
@@ -272,6 +279,7 @@
         auto result = exchange_result{};
         result.status = connected_ ? end : exchange_status::not_run;
         result.never_sent = !connected_;
+        result.oversized = oversized_;
         finish(std::move(result));
     }
 }
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -204,6 +204,9 @@
     } else {
         record_announcements(*target, result.answer);
     }
+    if (result.oversized) {
+        selector_.backoff().on_oversized(*target, timers_->now());
+    }
     auto& part = call->parts[index];
     part.open_exchanges.erase(exchange);
     if (!useful) {
--- a/src/relay/target_backoff.cpp
+++ b/src/relay/target_backoff.cpp
@@ -10,6 +10,8 @@
 constexpr auto status_unavailable = 503U;
 /// A pause that a target asks for is cut to this, so that one bad value does not lose the target.
 constexpr auto max_pause_s = 600.0;
+/// Bounds what a target that sends without end costs in bytes and processor time.
+constexpr auto oversized_pause = seconds{2};
 
 /// Returns the seconds of a `Retry-After` header; a date or another text is no pause.
 auto parse_seconds(std::string_view text) -> std::optional<double>
@@ -34,7 +36,17 @@
     if (!wait) {
         return;
     }
-    const auto end = now + std::chrono::ceil<milliseconds>(std::chrono::duration<double>(*wait));
+    pause_until(target,
+                now + std::chrono::ceil<milliseconds>(std::chrono::duration<double>(*wait)));
+}
+
+auto target_backoff::on_oversized(const target_record& target, time_point now) -> void
+{
+    pause_until(target, now + oversized_pause);
+}
+
+auto target_backoff::pause_until(const target_record& target, time_point end) -> void
+{
     auto& known = pauses_[target.id];
     known.end = known.start_unix_ms == target.start_unix_ms ? std::max(known.end, end) : end;
     known.start_unix_ms = target.start_unix_ms;
--- a/tests/unit/net/target_connection_test.cpp
+++ b/tests/unit/net/target_connection_test.cpp
@@ -277,6 +277,7 @@
     send_to_endless_target("HTTP/1.1 200 OK\r\nId: r1\r\n\r\n", "x", &memory);
     BOOST_TEST((result->status == exchange_status::broken));
     BOOST_TEST(!result->never_sent);
+    BOOST_TEST(result->oversized);
     BOOST_TEST(was_closed);
     BOOST_TEST(counters.value(counter::answers_evicted) == 1U);
     BOOST_TEST(memory.highest() <= memory_limit);
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -679,6 +679,32 @@
     BOOST_TEST(port.sent_to("one-x") > 1U);
 }
 
+// Each request to a target that sends without end cost the process megabytes.
+BOOST_AUTO_TEST_CASE(target_whose_answers_exceed_the_limits_gets_no_request_for_some_time)
+{
+    auto endless = true;
+    port.answer = [&endless](const auto& order) {
+        auto result = end_with(exchange_status::broken);
+        result.oversized = true;
+        return endless ? fake_reply{milliseconds{1}, result} : reply_to(order);
+    };
+    const auto next_status = [&] {
+        answers.clear();
+        start_request("/one/a", false);
+        timers.advance(milliseconds{20});
+        return single_answer().status;
+    };
+    BOOST_TEST(next_status() == 502U);
+    BOOST_TEST(next_status() == 502U);
+    BOOST_TEST(port.sent_to("one-x") == 1U);
+    BOOST_TEST(port.sent_to("one-y") == 1U);
+    endless = false;
+    BOOST_TEST(next_status() == 503U);
+    BOOST_TEST(port.sent.size() == 2U);
+    timers.advance(seconds{3});
+    BOOST_TEST(next_status() == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(request_whose_targets_all_pause_waits_if_a_pause_ends_in_time)
 {
     auto seconds_to_wait = std::string{"0.4"};
