--- a/include/knapweedchute/relay/target_backoff.hpp
+++ b/include/knapweedchute/relay/target_backoff.hpp
@@ -12,8 +12,7 @@
 namespace knapweedchute {
 
 /// \brief Remembers which targets are not sent anything for some time.
-/// \detail A target asks for a pause by 503 with `Retry-After`; one that sends without end gets
-/// one.
+/// \detail A target pauses if it asks for it, by 503 with `Retry-After`, or sends without end.
 class target_backoff
 {
 public:
