--- a/tests/soak/soak_calm.cpp
+++ b/tests/soak/soak_calm.cpp
@@ -40,7 +40,7 @@
     move_version();
     stop_all();
     checker_.check_runs(runs_);
-    const auto all = all_faults();
+    auto all = all_faults();
     std::cout << "seed " << options_.seed << ", requests " << next_request_ - 1 << ", versions "
               << version_ << ", faults";
     for (const auto& [name, count] : faults_drawn_) {
