--- a/tests/soak/soak_calm.cpp
+++ b/tests/soak/soak_calm.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <iostream>
 #include <iterator>
@@ -24,6 +25,11 @@
 constexpr auto exposed_share = 0.1;
 constexpr auto exposed_slack = 50.0;
 constexpr auto stop_bound = seconds{5};
+/// What another writer may leave in the list of targets.
+const auto odd_values = std::array<std::string, 5>{
+    "", "\xff\xfe", "{}", R"({"service":1,"state":[]})",
+    R"({"service":"nobody","address":"127.0.0.1:1","zone":"a","version":"v1","slots":2,)"
+    R"("state":"resting","coldRemainingMs":0,"sequence":1})"};
 
 } // namespace
 
@@ -36,6 +42,7 @@
     pass(recovery_bound);
     expect_served("after the faults");
     expect_newest_everywhere();
+    restart_beside_odd_entries();
     take_zone_out();
     move_version();
     stop_all();
@@ -97,6 +104,22 @@
     }
 }
 
+auto soak_world::restart_beside_odd_entries() -> void
+{
+    // As many of each name as a page holds, so that a page ends at one of them.
+    for (const auto* name : {"&", "+", "#", "%", " "}) {
+        for (auto index = std::size_t{0}; index < page_size; ++index) {
+            store_.put("servers/t1" + std::string{name} + std::to_string(index),
+                       odd_values.at(index % odd_values.size()));
+        }
+    }
+    for (auto& entry : entries_) {
+        entry->signal(SIGKILL);
+    }
+    pass(recovery_bound);
+    expect_served("after a restart beside odd entries");
+}
+
 auto soak_world::take_zone_out() -> void
 {
     store_.put("op/evacuate/a", "{}");
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -73,6 +73,7 @@
       names_{platform::interface().headers},
       store_listener_{loop_, store_, timers_, names_}, checker_{shard_names(), {}}
 {
+    store_.set_page_size(page_size);
     auto reason = error{};
     if (!store_listener_.open({network_ | store_host, port}, reason)) {
         throw std::runtime_error{to_string(reason)};
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -74,6 +74,9 @@
 
     using fault_action = void (soak_world::*)();
 
+    /// Items of a page of the store; the list of targets takes several.
+    static constexpr auto page_size = std::size_t{10};
+
     auto add_target(const std::string& service, const std::string& zone, const std::string& version)
         -> placed_target&;
     auto add_endless_targets() -> void;
@@ -109,6 +112,7 @@
     auto calm_down() -> void;
     auto expect_served(const std::string& when) -> void;
     auto expect_newest_everywhere() -> void;
+    auto restart_beside_odd_entries() -> void;
     auto take_zone_out() -> void;
     auto move_version() -> void;
     auto stop_all() -> void;
--- a/tests/soak/store_stand_in.cpp
+++ b/tests/soak/store_stand_in.cpp
@@ -3,7 +3,9 @@
 #include "store_client.hpp"
 
 #include <nlohmann/json.hpp>
+#include <uriparser/Uri.h>
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -12,16 +14,24 @@
 namespace {
 
 constexpr auto status_ok = 200U;
-constexpr auto page_size = std::size_t{200};
+/// Decodes a part of a query: `+` is a blank and `%` begins the number of a byte.
+auto decode_query(std::string text) -> std::string
+{
+    const auto* const end = uriUnescapeInPlaceExA(text.data(), URI_TRUE, URI_BR_DONT_TOUCH);
+    text.resize(static_cast<std::size_t>(end - text.data()));
+    return text;
+}
 
 auto query_of(const std::string& target) -> std::map<std::string, std::string>
 {
     auto pairs = std::map<std::string, std::string>{};
     const auto mark = target.find('?');
-    auto text = std::istringstream{mark == std::string::npos ? "" : target.substr(mark + 1)};
+    const auto fragment = target.find('#');
+    auto text = std::istringstream{
+        mark == std::string::npos ? "" : target.substr(mark + 1, fragment - mark - 1)};
     for (auto pair = std::string{}; std::getline(text, pair, '&');) {
         const auto equals = pair.find('=');
-        pairs[pair.substr(0, equals)] = pair.substr(equals + 1);
+        pairs[decode_query(pair.substr(0, equals))] = decode_query(pair.substr(equals + 1));
     }
     return pairs;
 }
@@ -35,7 +45,10 @@
 
 auto answer(unsigned status, const nlohmann::json& body) -> relayed_answer
 {
-    return {status, {{"Content-Type", "application/json"}}, body.dump()};
+    // Bytes that are no text are replaced, as many JSON libraries do.
+    return {status,
+            {{"Content-Type", "application/json"}},
+            body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
 }
 
 } // namespace
@@ -99,8 +112,9 @@
     return 0;
 }
 
-auto store_stand_in::range(const std::map<std::string, std::string>& query) const -> relayed_answer
+auto store_stand_in::range(const std::map<std::string, std::string>& query) -> relayed_answer
 {
+    ranges_ += 1;
     const auto prefix = query.contains("prefix") ? query.at("prefix") : "";
     const auto after = query.contains("after") ? query.at("after") : "";
     auto body = nlohmann::json{
@@ -109,7 +123,7 @@
         if (!key.starts_with(prefix) || key <= after) {
             continue;
         }
-        if (body["items"].size() == page_size) {
+        if (body["items"].size() == page_size_) {
             body["truncated"] = true;
             break;
         }
--- a/tests/soak/store_stand_in.hpp
+++ b/tests/soak/store_stand_in.hpp
@@ -38,6 +38,12 @@
 
     auto set_mode(store_mode mode) -> void { mode_ = mode; }
 
+    /// \brief Sets the maximum number of items in a page of a range.
+    auto set_page_size(std::size_t items) -> void { page_size_ = items; }
+
+    /// \brief Pages of ranges that were answered.
+    [[nodiscard]] auto ranges() const noexcept -> std::size_t { return ranges_; }
+
     auto handle(relayed_request request, responder respond) -> std::uint64_t override;
     auto cancel(std::uint64_t request) -> void override { watchers_.erase(request); }
     [[nodiscard]] auto limits() const -> caller_limits override { return {}; }
@@ -57,8 +63,7 @@
     };
 
     auto change(const std::string& key, item changed) -> void;
-    [[nodiscard]] auto range(const std::map<std::string, std::string>& query) const
-        -> relayed_answer;
+    [[nodiscard]] auto range(const std::map<std::string, std::string>& query) -> relayed_answer;
     auto watch(const std::map<std::string, std::string>& query, responder respond) -> std::uint64_t;
     auto transact(const std::string& body) -> relayed_answer;
     auto tell(std::uint64_t id) -> void;
@@ -66,6 +71,8 @@
 
     timer_queue* timers_;
     store_mode mode_ = store_mode::up;
+    std::size_t page_size_ = 200;
+    std::size_t ranges_ = 0;
     std::map<std::string, item> items_;
     std::map<std::uint64_t, std::pair<std::string, item>> history_;
     std::uint64_t revision_ = 1;
