A list whose pages do not advance is abandoned and read again later

A page without items that others follow was taken for the end of the list, so that all keys after it counted as gone.

Cause: the subscriber asked for the next page at once as long as a page said that another follows, and never looked at where it ended.

Fix: within a list each page must end at a key of its own, which bounds the pages by the number of keys whatever their order. A list that breaks this, or has an empty page before its end, is abandoned: nothing is removed, the key is logged, the next read starts after the longest retry delay and from a peer if there is one that the store serves.

--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,8 @@
     auto read_all() -> void;
     auto read_page(const std::string& prefix, const std::string& after) -> void;
     auto on_page(const std::string& prefix, const feed_reply& reply) -> void;
+    [[nodiscard]] auto advances(const feed_page& page) -> bool;
+    auto abandon_list(const std::string& prefix, const feed_page& page) -> void;
     auto finish_full_read() -> void;
     auto watch() -> void;
     auto on_watch(const feed_reply& reply) -> void;
@@ -111,6 +114,7 @@
     std::function<void()> on_change_;
     std::map<std::string, feed_event> pending_items_;
     std::uint64_t pending_revision_ = 0;
+    std::set<std::string> page_ends_; ///< Last keys of the pages of the list in progress.
     std::optional<member> followed_peer_;
     std::optional<time_point> last_disruption_;
     std::size_t consecutive_failures_ = 0;
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -55,6 +55,7 @@
 {
     pending_items_.clear();
     pending_revision_ = 0;
+    page_ends_.clear();
     read_page(fresh_prefix_, "");
 }
 
@@ -73,6 +74,10 @@
         schedule_after(retry_delay(), &feed_subscriber::read_all);
         return;
     }
+    if (reply.page.truncated && !advances(reply.page)) {
+        abandon_list(prefix, reply.page);
+        return;
+    }
     record_contact(reply.page.recent_disruption);
     if (followed_peer_) {
         record_age(reply.page);
@@ -87,15 +92,35 @@
             item = event;
         }
     }
-    if (reply.page.truncated && !reply.page.events.empty()) {
+    if (reply.page.truncated) {
         read_page(prefix, reply.page.events.back().key);
     } else if (!prefix.empty()) {
+        page_ends_.clear();
         read_page("", "");
     } else {
         finish_full_read();
     }
 }
 
+auto feed_subscriber::advances(const feed_page& page) -> bool
+{
+    // A list whose pages all end at different keys ends, whatever the order of its keys.
+    return !page.events.empty() && page_ends_.insert(page.events.back().key).second;
+}
+
+auto feed_subscriber::abandon_list(const std::string& prefix, const feed_page& page) -> void
+{
+    log_line.warning("List does not advance.",
+                     {{"prefix", prefix},
+                      {"key", page.events.empty() ? std::string{} : page.events.back().key}});
+    record_failure();
+    // A peer that the store gives the whole list may have it.
+    if (!followed_peer_) {
+        selector_.record_store_failure(timers_->now());
+    }
+    schedule_after(max_retry_delay, &feed_subscriber::read_all);
+}
+
 auto feed_subscriber::finish_full_read() -> void
 {
     history_lost_ = false;
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -3,6 +3,8 @@
 #include <knapweedchute/feed/feed_subscriber.hpp>
 #include <knapweedchute/membership/store_readers.hpp>
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
@@ -30,8 +32,9 @@
         reads += 1;
         auto reply = feed_reply{up ? feed_read_status::done : feed_read_status::failed, {}};
         reply.page.revision = revision;
+        const auto& position = ignores_position ? std::string{} : after;
         for (const auto& [key, item] : items) {
-            if (key.starts_with(prefix) && key > after) {
+            if (key.starts_with(prefix) && key > position) {
                 reply.page.truncated = reply.page.events.size() == page_size;
                 if (reply.page.truncated) {
                     break;
@@ -88,6 +91,7 @@
     std::uint64_t revision = 1;
     std::uint64_t history_from = 0;
     std::size_t page_size = 2;
+    bool ignores_position = false; ///< Each page of a list begins at the first key.
     std::size_t reads = 0;
     std::size_t watches = 0;
     bool up = true;
@@ -295,6 +299,48 @@
     BOOST_TEST(listener.values.contains("servers/d"));
 }
 
+BOOST_DATA_TEST_CASE_F(feed_fixture, feed_list_that_does_not_advance_is_read_again_after_a_delay,
+                       boost::unit_test::data::make({0U, 1U, 2U}), page_size)
+{
+    constexpr auto max_tries_in_ten_seconds = std::size_t{15};
+    constexpr auto pages_of_list = std::size_t{4};
+    store.ignores_position = true;
+    store.page_size = page_size;
+    start();
+    timers.advance(seconds{10});
+    BOOST_TEST(store.reads <= max_tries_in_ten_seconds * pages_of_list);
+    BOOST_TEST(listener.completions == 0U);
+    store.ignores_position = false;
+    store.page_size = 2;
+    timers.advance(seconds{1});
+    BOOST_TEST(listener.values.size() == 4U);
+    BOOST_TEST(listener.completions == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(feed_list_of_the_store_that_does_not_advance_is_read_from_a_peer)
+{
+    members.push_back({"r1", "a", {1, 1}, {}, {}, 1, member_state::alive});
+    peer.items = store.items;
+    peer.revision = store.revision;
+    store.ignores_position = true;
+    start();
+    timers.advance(seconds{1});
+    BOOST_TEST(listener.values.size() == 4U);
+    BOOST_TEST(listener.completions == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(feed_list_that_does_not_advance_removes_nothing)
+{
+    start();
+    store.ignores_position = true;
+    store.changes.clear();
+    store.revision = 40;
+    store.history_from = 40;
+    timers.advance(seconds{10});
+    BOOST_TEST(listener.values.size() == 4U);
+    BOOST_TEST(listener.completions == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(cache_changes_before_the_retained_history_are_not_returned)
 {
     auto cache = feed_cache{};
