An answer whose status is out of range is broken at its head

What callers saw: the answer of a leaf in trouble with the status 600 to 999 reached them as an answer. One with 000 to 099 did not: it was taken for an interim answer, so that the request waited for a second one, and was answered 504 at its deadline instead of 502, or by another target, at once.

Cause: the HTTP library takes any three digits for a status, and the connection compared them with the first final status only.

Fix: once the head is read, a status out of 100 to 599 ends the exchange as broken and closes the connection: the request may have run, an idempotent one goes to another target. It is decided where answers are read, so it holds for requests, parts of queries, and calls to the store and to peers.

The own daemon accepts 200 only: its test passes on the code before, nothing changed. The settings of an entry instance on loopback moved out of entry_stop_test.

--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -70,6 +70,7 @@
 #include <knapweedchute/membership/renewed_knowledge.hpp>
 #include <knapweedchute/membership/store_readers.hpp>
 #include <knapweedchute/net/answer_encoder.hpp>
+#include <knapweedchute/net/answer_grammar.hpp>
 #include <knapweedchute/net/asio_timer_queue.hpp>
 #include <knapweedchute/net/call_client.hpp>
 #include <knapweedchute/net/caller_listener.hpp>
--- a/include/knapweedchute/net/target_connection.hpp
+++ b/include/knapweedchute/net/target_connection.hpp
@@ -20,9 +20,10 @@
 /// \brief Connection to a target that carries one request at a time.
 ///
 /// \detail Closes when bytes arrive that belong to no request, when an answer arrives before its
-///         request was sent completely, when it exceeds the limits of its order, or when its memory
-///         is evicted: a faulty target may send without end. A closed connection is never reused,
-///         nor is one whose answer could be a late copy of an earlier one.
+///         request was sent completely, when its status is out of range, when it exceeds the limits
+///         of its order, or when its memory is evicted: a faulty target may send without end. A
+///         closed connection is never reused, nor is one whose answer could be a late copy of an
+///         earlier one.
 class target_connection : public std::enable_shared_from_this<target_connection>
 {
 public:
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -1,5 +1,6 @@
 #include "message_fields.hpp"
 
+#include <knapweedchute/net/answer_grammar.hpp>
 #include <knapweedchute/net/target_connection.hpp>
 
 #include <boost/asio/post.hpp>
@@ -166,6 +167,10 @@
             close(exchange_status::broken);
             return;
         }
+        if (parser_->is_header_done() && !is_defined_status(parser_->get().result_int())) {
+            close(exchange_status::broken);
+            return;
+        }
         if (parser_->is_done()) {
             on_answer();
         }
--- a/tests/unit/entry/entry_stop_test.cpp
+++ b/tests/unit/entry/entry_stop_test.cpp
@@ -1,5 +1,6 @@
 #include "names.hpp"
 #include "support/loopback.hpp"
+#include "support/loopback_entry_settings.hpp"
 
 #include <knapweedchute/entry/entry_instance.hpp>
 
@@ -25,7 +26,7 @@
     std::atomic<int> requests_at_target{0};
     std::atomic<bool> stopped{false};
     std::thread target_thread{[this] { take_requests(); }};
-    entry_settings settings = make_settings();
+    entry_settings settings = loopback_entry_settings();
     entry_instance instance{settings, platform::interface(), 1};
 
     stop_fixture()
@@ -60,24 +61,6 @@
         target_thread.join();
     }
 
-    static auto make_settings() -> entry_settings
-    {
-        auto values = entry_settings{};
-        values.instance = "i1";
-        values.availability_zone = "a";
-        const auto ports = free_ports(6);
-        auto next = ports.begin();
-        for (auto* where :
-             {&values.caller_address, &values.readiness_address, &values.directory_address,
-              &values.admin_address, &values.peer_address, &values.store_address}) {
-            *where = {loopback_ip, *next++};
-        }
-        values.processor_permil = 1'000;
-        values.address_lifetime = seconds{1};
-        values.stop_grace = seconds{2};
-        return values;
-    }
-
     auto take_requests() -> void
     {
         auto sockets = std::vector<tcp::socket>{};
--- a/tests/unit/net/target_connection_test.cpp
+++ b/tests/unit/net/target_connection_test.cpp
@@ -209,6 +209,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answer_with_a_status_out_of_range_is_broken_at_its_head)
+{
+    for (const auto* status : {"000", "001", "099", "600", "999"}) {
+        for (const auto* framing : {"Content-Length: 2\r\n\r\n", "\r\n"}) {
+            loop.restart();
+            const auto results =
+                send_requests({"HTTP/1.1 " + std::string{status} + " OK\r\nId: r1\r\n" + framing});
+            BOOST_REQUIRE_MESSAGE(results.size() == 1U, status);
+            BOOST_TEST((results.front().status == exchange_status::broken), status);
+            BOOST_TEST(was_closed);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answer_with_not_run_header_is_not_run)
 {
     const auto& end =
--- a/tests/unit/runtime/transfer_worker_test.cpp
+++ b/tests/unit/runtime/transfer_worker_test.cpp
@@ -60,4 +60,15 @@
     BOOST_TEST(result.body == "abcdef");
 }
 
+BOOST_AUTO_TEST_CASE(transfer_whose_answer_has_a_status_out_of_range_is_no_success)
+{
+    constexpr auto status_ok = 200L;
+    for (const auto* status : {"000", "001", "099", "600", "999"}) {
+        const auto result =
+            send_request("HTTP/1.1 " + std::string{status} + " OK\r\nContent-Length: 2\r\n\r\nab");
+        BOOST_TEST((result.status == transfer_status::broken || result.http_status != status_ok),
+                   status);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
