An answer with a folded line or a malformed field name is broken

What callers saw: the entry daemon passed on an answer in whose head a line began with a blank, with that line as part of the value before it; a length or coding on such a line was lost, so that the body was read by another framing. The own daemon took answers with a blank or a control byte anywhere in a field name, with the bytes of their coding as the body of a run.

Cause: the parser of the entry daemon refuses names that are no token, but joins a line that begins with a blank to the one before it, as older versions of the protocol allowed; libcurl does so too and ignores names that it doesn't know.

Fix: the unparsed part of a head is searched for such a line before the parser gets it. The parser consumes a field only when it has seen the first byte of the next line, so a folded line is seen whole wherever reads end. The check of heads over libcurl, which sees each line, refuses lines without a valid name. The exchange ends as broken: it may have run.

Evidence, on the code before: answer_with_a_malformed_field_name_is_not_passed_ on fails for 3 of 19 lines, each with 200 and the line at the caller or as a lost length, answer_with_a_malformed_field_name_is_broken for the same 3, folded_line_of_a_ head_is_seen_wherever_the_reads_end at each cut, transfer_whose_answer_has_a_ malformed_field_name_is_broken for 15 of 19. Now all pass, and a body that begins with a blank is still an answer at each cut. Names with a blank or a control byte inside were handled by the entry daemon already: tests kept, nothing changed for them.

--- a/include/knapweedchute/net/target_connection.hpp
+++ b/include/knapweedchute/net/target_connection.hpp
@@ -14,14 +14,15 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace knapweedchute {
 
 /// \brief Connection to a target that carries one request at a time.
 ///
 /// \detail Closes when bytes arrive that belong to no request, when an answer arrives before its
-///         request was sent completely, when its status is out of range, when it exceeds the limits
-///         of its order, or when its memory is evicted: a faulty target may send without end. A
+///         request was sent completely, when its head is malformed, when it exceeds the limits of
+///         its order, or when its memory is evicted: a faulty target may send without end. A
 ///         closed connection is never reused, nor is one whose answer could be a late copy of an
 ///         earlier one.
 class target_connection : public std::enable_shared_from_this<target_connection>
@@ -60,6 +61,8 @@
     auto read() -> void;
     auto on_read(const boost::system::error_code& failure, std::size_t count) -> void;
     auto parse() -> void;
+    /// \brief Bytes that the parser has not consumed; within a head they begin with a line.
+    [[nodiscard]] auto unparsed_input() const -> std::string_view;
     auto on_end_of_stream(bool clean) -> void;
     auto on_answer() -> void;
     [[nodiscard]] auto exceeds_limits() const -> bool;
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -157,6 +157,11 @@
 auto target_connection::parse() -> void
 {
     while (!closed_ && done_ && input_.size() > 0) {
+        if (!parser_->is_header_done() && has_folded_line(unparsed_input())) {
+            // The parser would join the line to the value before it.
+            close(exchange_status::broken);
+            return;
+        }
         auto failure = boost::system::error_code{};
         input_.consume(parser_->put(input_.data(), failure));
         if (failure == http::error::need_more) {
@@ -177,6 +182,12 @@
     }
 }
 
+auto target_connection::unparsed_input() const -> std::string_view
+{
+    const auto bytes = input_.cdata();
+    return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 auto target_connection::on_end_of_stream(bool clean) -> void
 {
     if (done_ && clean && parser_->got_some()) {
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -1,4 +1,4 @@
-#include "head_end_detector.hpp"
+#include "answer_head_checker.hpp"
 
 #include <knapweedchute/runtime/http_client.hpp>
 
@@ -35,7 +35,7 @@
     auto* handle = handle_.get();
     curl_easy_reset(handle);
     auto response = http_response{};
-    auto head = impl::head_end_detector{};
+    auto head = impl::answer_head_checker{};
     head.attach(handle);
     auto* header_list = static_cast<curl_slist*>(nullptr);
     for (const auto& line : request.headers) {
@@ -61,8 +61,9 @@
                   curl_easy_strerror(result)};
         return std::nullopt;
     }
-    if (!head.complete()) {
-        reason = {error_code::outcome_unknown, request.url, "the answer ended in its head"};
+    if (!head.valid()) {
+        reason = {error_code::outcome_unknown, request.url,
+                  "the head of the answer is incomplete or malformed"};
         return std::nullopt;
     }
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &response.status);
--- a/src/runtime/transfer_worker.cpp
+++ b/src/runtime/transfer_worker.cpp
@@ -1,4 +1,4 @@
-#include "head_end_detector.hpp"
+#include "answer_head_checker.hpp"
 
 #include <knapweedchute/runtime/transfer_worker.hpp>
 
@@ -35,7 +35,7 @@
     transfer_key key = 0;
     CURL* handle = nullptr;
     std::string request_body;
-    impl::head_end_detector head;
+    impl::answer_head_checker head;
     transfer_result result;
     transfer_worker::completion done;
 };
@@ -55,7 +55,7 @@
 {
     auto* handle = ended.handle;
     if (code == CURLE_OK) {
-        return ended.head.complete() ? transfer_status::answered : transfer_status::broken;
+        return ended.head.valid() ? transfer_status::answered : transfer_status::broken;
     }
     auto sent_bytes = 0L;
     auto connect_time_us = curl_off_t{0};
--- a/tests/unit/entry/odd_answer_test.cpp
+++ b/tests/unit/entry/odd_answer_test.cpp
@@ -1,6 +1,7 @@
 #include "names.hpp"
 #include "support/loopback.hpp"
 #include "support/loopback_entry_settings.hpp"
+#include "support/malformed_field_lines.hpp"
 
 #include <knapweedchute/entry/entry_instance.hpp>
 
@@ -137,6 +138,7 @@
                                                                  << bytes << "\n"
                                                                  << answer);
             BOOST_TEST(answer.find("stamp-1") == std::string::npos, bytes << "\n" << answer);
+            BOOST_TEST(answer.find("odd-value") == std::string::npos, bytes << "\n" << answer);
             BOOST_TEST((waited < caller_timeout / 2), path << "\n" << bytes);
         }
     }
@@ -166,4 +168,11 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answer_with_a_malformed_field_name_is_not_passed_on)
+{
+    for (const auto& line : malformed_field_lines()) {
+        expect_failure(answer_with_line(line));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/net/target_connection_test.cpp
+++ b/tests/unit/net/target_connection_test.cpp
@@ -1,4 +1,5 @@
 #include "support/loopback.hpp"
+#include "support/malformed_field_lines.hpp"
 
 #include <knapweedchute/net/target_connection.hpp>
 
@@ -95,8 +96,9 @@
     }
 
     /// Sends requests one after the other on one connection; the target answers each with the text
-    /// at its index.
-    auto send_requests(const std::vector<std::string>& answers) -> std::vector<exchange_result>
+    /// at its index, in two parts if it is longer than `cut`.
+    auto send_requests(const std::vector<std::string>& answers, std::size_t cut = std::string::npos)
+        -> std::vector<exchange_result>
     {
         auto acceptor = boost::asio::ip::tcp::acceptor{
             loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
@@ -110,7 +112,11 @@
                     socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", failure);
                 request.erase(0, length);
                 if (!failure) {
-                    boost::asio::write(socket, boost::asio::buffer(answer), failure);
+                    boost::asio::write(socket, boost::asio::buffer(answer.substr(0, cut)), failure);
+                }
+                if (!failure && cut < answer.size()) {
+                    std::this_thread::sleep_for(milliseconds{3});
+                    boost::asio::write(socket, boost::asio::buffer(answer.substr(cut)), failure);
                 }
             }
             boost::asio::read(socket, boost::asio::dynamic_buffer(request), failure);
@@ -223,6 +229,44 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answer_with_a_malformed_field_name_is_broken)
+{
+    for (const auto& line : malformed_field_lines()) {
+        for (const auto* earlier : {"", "X-First: 1\r\n"}) {
+            loop.restart();
+            const auto results = send_requests({"HTTP/1.1 200 OK\r\n" + std::string{earlier} +
+                                                line + "\r\nContent-Length: 2\r\n\r\nab"});
+            BOOST_REQUIRE_MESSAGE(results.size() == 1U, earlier + line);
+            BOOST_TEST((results.front().status == exchange_status::broken), earlier + line);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(folded_line_of_a_head_is_seen_wherever_the_reads_end)
+{
+    const auto answer = std::string{"HTTP/1.1 200 OK\r\nX-First: 1\r\n"
+                                    " Content-Length: 9\r\nContent-Length: 2\r\n\r\nab"};
+    for (auto cut = std::size_t{1}; cut < answer.size(); ++cut) {
+        loop.restart();
+        const auto results = send_requests({answer}, cut);
+        BOOST_REQUIRE_MESSAGE(results.size() == 1U, cut);
+        BOOST_TEST((results.front().status == exchange_status::broken), cut);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(body_that_begins_with_a_blank_is_not_taken_for_a_folded_line)
+{
+    const auto answer =
+        std::string{"HTTP/1.1 200 OK\r\nX-First: 1\r\nContent-Length: 8\r\n\r\n \r\n \r\n\tx"};
+    for (auto cut = std::size_t{1}; cut < answer.size(); ++cut) {
+        loop.restart();
+        const auto results = send_requests({answer}, cut);
+        BOOST_REQUIRE_MESSAGE(results.size() == 1U, cut);
+        BOOST_TEST((results.front().status == exchange_status::answered), cut);
+        BOOST_TEST(results.front().answer.body == " \r\n \r\n\tx", cut);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answer_with_not_run_header_is_not_run)
 {
     const auto& end =
--- a/tests/unit/runtime/transfer_worker_test.cpp
+++ b/tests/unit/runtime/transfer_worker_test.cpp
@@ -1,4 +1,5 @@
 #include "support/loopback.hpp"
+#include "support/malformed_field_lines.hpp"
 
 #include <knapweedchute/runtime/transfer_worker.hpp>
 
@@ -71,4 +72,13 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(transfer_whose_answer_has_a_malformed_field_name_is_broken)
+{
+    for (const auto& line : malformed_field_lines()) {
+        const auto result = send_request("HTTP/1.1 200 OK\r\nX-First: 1\r\n" + line +
+                                         "\r\nContent-Length: 2\r\n\r\nab");
+        BOOST_TEST((result.status == transfer_status::broken), line);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
