An answer in a transfer coding that nobody asked for is broken

What callers saw: an answer of a faulty leaf with a transfer coding other than chunked reached them as it came, still coded, or with the body cut by another framing than the leaf's.

Cause: the HTTP library reads a body with a coding that it does not know up to the end of the connection or by Content-Length, and undoes only the chunks of 'gzip, chunked'; the field itself is removed as it concerns one connection.

Fix: requests ask for no coding, so a head with any other value than chunked ends the exchange as broken, as a status out of range does.

Evidence: answer_in_a_transfer_coding_that_was_not_asked_for_is_not_passed_on (8 values, with chunks and with a length) on the code before: 57 checks fail, 200 with the coded bytes among them; now it passes.

--- a/include/knapweedchute/net/target_connection.hpp
+++ b/include/knapweedchute/net/target_connection.hpp
@@ -61,6 +61,7 @@
     auto read() -> void;
     auto on_read(const boost::system::error_code& failure, std::size_t count) -> void;
     auto parse() -> void;
+    [[nodiscard]] auto has_valid_head() const -> bool;
     /// \brief Bytes that the parser has not consumed; within a head they begin with a line.
     [[nodiscard]] auto unparsed_input() const -> std::string_view;
     auto on_end_of_stream(bool clean) -> void;
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -172,7 +172,7 @@
             close(exchange_status::broken);
             return;
         }
-        if (parser_->is_header_done() && !is_defined_status(parser_->get().result_int())) {
+        if (parser_->is_header_done() && !has_valid_head()) {
             close(exchange_status::broken);
             return;
         }
@@ -182,6 +182,16 @@
     }
 }
 
+auto target_connection::has_valid_head() const -> bool
+{
+    // Requests ask for no transfer coding, and the parser decodes chunks only.
+    const auto& message = parser_->get();
+    const auto coding = message.find(http::field::transfer_encoding);
+    const auto decoded = coding == message.end() ||
+                         same_name({coding->value().data(), coding->value().size()}, "chunked");
+    return decoded && is_defined_status(message.result_int());
+}
+
 auto target_connection::unparsed_input() const -> std::string_view
 {
     const auto bytes = input_.cdata();
--- a/tests/unit/entry/odd_answer_test.cpp
+++ b/tests/unit/entry/odd_answer_test.cpp
@@ -175,4 +175,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answer_in_a_transfer_coding_that_was_not_asked_for_is_not_passed_on)
+{
+    const auto head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + proof;
+    const auto chunk = std::string{"\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n"};
+    for (const auto* coding :
+         {"gzip, chunked", "chunked, gzip", "gzip\r\nTransfer-Encoding: chunked", "gzip",
+          "xchunked", "chunked;q=1", "\"chunked\"", ""}) {
+        expect_failure(head + "Transfer-Encoding: " + coding + chunk);
+        expect_failure(head + "Transfer-Encoding: " + coding +
+                       "\r\nContent-Length: 16\r\n\r\n0123456789abcdef");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
