An entry whose name no header can carry names no target

What callers saw: nothing reported.

Cause: the id of a target is the end of its key and becomes the value of Expect-Instance as it stands.

Names with & + # % or / stay usable, as a target may have them.

--- a/tests/unit/platform/view_feed_test.cpp
+++ b/tests/unit/platform/view_feed_test.cpp
@@ -91,4 +91,30 @@
     BOOST_TEST(view.targets().usable("s").size() >= 1U);
 }
 
+BOOST_AUTO_TEST_CASE(target_whose_name_no_header_can_carry_is_left_out)
+{
+    const auto sound =
+        std::string{R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,)"
+                    R"("state":"ready","coldRemainingMs":0})"};
+    for (const auto& name : std::vector<std::string>{"",
+                                                     " ",
+                                                     "t 1",
+                                                     " t1",
+                                                     "t1 ",
+                                                     "t1\r\nX-Added: 1",
+                                                     "t1\n",
+                                                     "t1\t",
+                                                     "t1\x01",
+                                                     "t1\x7f",
+                                                     {"t1\0", 3},
+                                                     "t1\xc3\xa9"}) {
+        feed.on_value({"servers/" + name, sound, 2, false});
+        BOOST_TEST(view.targets().size() == 0U, "name: " << name);
+    }
+    for (const auto* name : {"i-7f3a91c2", "t1&2", "t1+2", "t1#2", "t1%2", "t1/2"}) {
+        feed.on_value({"servers/" + std::string{name}, sound, 2, false});
+    }
+    BOOST_TEST(view.targets().usable("s").size() == 6U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
