--- /dev/null
+++ b/tests/unit/platform/store_client_test.cpp
@@ -0,0 +1,116 @@
+#include "names.hpp"
+#include "store_client.hpp"
+#include "support/loopback.hpp"
+
+#include <knapweedchute/entry/fixed_handler.hpp>
+#include <knapweedchute/net/asio_timer_queue.hpp>
+#include <knapweedchute/net/caller_listener.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace knapweedchute;
+
+namespace {
+
+/// A store on loopback that gives the same body in answer to every call.
+struct store_client_fixture
+{
+    boost::asio::io_context loop{1};
+    asio_timer_queue timers{loop};
+    header_names names = platform::interface().headers;
+    std::string body;
+    fixed_handler pages{{{"/api/kv-range", [this](const auto&) { return answer(); }},
+                         {"/api/kv-watch", [this](const auto&) { return answer(); }}}};
+    caller_listener listener{loop, pages, timers, names};
+    address where{test::loopback_ip, test::free_port()};
+    counter_set counters;
+    platform::store_client client{loop, timers, where, counters, milliseconds{600}};
+
+    store_client_fixture()
+    {
+        auto reason = error{};
+        BOOST_REQUIRE(listener.open(where, reason));
+    }
+
+    [[nodiscard]] auto answer() const -> relayed_answer { return {200, {}, body}; }
+
+    auto read() -> feed_reply
+    {
+        auto result = feed_reply{};
+        client.read("", "", false, [&](const auto& reply) {
+            result = reply;
+            loop.stop();
+        });
+        run();
+        return result;
+    }
+
+    auto watch() -> feed_reply
+    {
+        auto result = feed_reply{};
+        client.watch(1, milliseconds{10}, [&](const auto& reply) {
+            result = reply;
+            loop.stop();
+        });
+        run();
+        return result;
+    }
+
+    auto run() -> void
+    {
+        loop.restart();
+        loop.run_for(seconds{2});
+    }
+};
+
+const auto sound = std::string{R"({"key":"servers/a","value":"e30=","revision":5})"};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(store_client_suite, store_client_fixture)
+
+BOOST_AUTO_TEST_CASE(item_without_a_readable_key_or_revision_is_left_out_and_the_others_are_read)
+{
+    for (const auto* odd :
+         {R"({})", R"([])", R"(null)", R"(7)", R"({"key":7,"value":"","revision":4})",
+          R"({"key":null,"revision":4})", R"({"key":"servers/b","revision":"4"})",
+          R"({"key":"servers/b","revision":-4})", R"({"key":"servers/b","revision":4.5})",
+          R"({"key":"servers/b","revision":null})", R"({"key":"servers/b"})",
+          R"({"key":"servers/b","revision":4,"deleted":"no"})"}) {
+        for (const auto* list : {"items", "events"}) {
+            body = R"({"asOf":9,")" + std::string{list} + R"(":[)" + odd + "," + sound + "," + odd +
+                   "]}";
+            const auto reply = std::string{list} == "items" ? read() : watch();
+            BOOST_TEST((reply.status == feed_read_status::done), body);
+            BOOST_REQUIRE_MESSAGE(reply.page.events.size() == 1U, body);
+            BOOST_TEST(reply.page.events.front().key == "servers/a");
+            BOOST_TEST(reply.page.revision == 9U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(item_whose_value_cannot_be_read_is_empty)
+{
+    for (const auto* odd : {"7", "null", "[]", R"("no base64!")", R"("e30")"}) {
+        body = R"({"asOf":9,"items":[{"key":"servers/b","revision":4,"value":)" + std::string{odd} +
+               "}," + sound + "]}";
+        const auto reply = read();
+        BOOST_REQUIRE_MESSAGE(reply.page.events.size() == 2U, body);
+        BOOST_TEST(reply.page.events.front().value.empty(), body);
+        BOOST_TEST(reply.page.events.back().value == "{}");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(page_that_is_no_page_has_failed)
+{
+    for (const auto* odd :
+         {"", "{}", "[]", "7", R"({"asOf":"9","items":[]})", R"({"asOf":-9,"items":[]})",
+          R"({"asOf":9,"items":{}})", R"({"asOf":9,"items":[],"truncated":"no"})"}) {
+        body = odd;
+        BOOST_TEST((read().status == feed_read_status::failed), body);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
