--- a/tests/unit/entry/odd_answer_test.cpp
+++ b/tests/unit/entry/odd_answer_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -42,7 +43,8 @@
     tcp::acceptor target{target_loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
     entry_settings settings = loopback_entry_settings();
     entry_instance instance{settings, platform::interface(), 1};
-    std::string target_answer; ///< Written while no request is in progress.
+    std::mutex answer_mutex;
+    std::string target_answer;
     std::atomic<bool> ending{false};
     std::thread target_thread;
     std::thread instance_thread;
@@ -116,10 +118,17 @@
             auto request = std::string{};
             boost::asio::read_until(sockets.back(), boost::asio::dynamic_buffer(request),
                                     "\r\n\r\n", failure);
+            const auto lock = std::lock_guard{answer_mutex};
             boost::asio::write(sockets.back(), boost::asio::buffer(target_answer), failure);
         }
     }
 
+    auto set_target_answer(const std::string& bytes) -> void
+    {
+        const auto lock = std::lock_guard{answer_mutex};
+        target_answer = bytes;
+    }
+
     auto answer_to_caller(const std::string& path) const -> std::string
     {
         return send_raw(settings.caller_address.port,
@@ -129,7 +138,7 @@
 
     auto expect_failure(const std::string& bytes) -> void
     {
-        target_answer = bytes;
+        set_target_answer(bytes);
         for (const auto* path : {"/relayed/x", "/query/x"}) {
             const auto begun = steady_clock::now();
             const auto answer = answer_to_caller(path);
@@ -152,7 +161,7 @@
 
 BOOST_AUTO_TEST_CASE(sound_answer_reaches_the_caller)
 {
-    target_answer = answer_with_line("Connection: close");
+    set_target_answer(answer_with_line("Connection: close"));
     for (const auto* path : {"/relayed/x", "/query/x"}) {
         const auto answer = answer_to_caller(path);
         BOOST_TEST(answer.starts_with("HTTP/1.1 200 "), path << ": " << answer);
