Read as a newcomer: names, one fixture, odd entries under all keys that are read

record_page_end says that it records; view_feed_suite and odd_entries_suite share their fixture; the soak leaves odd entries among members and rollout records too. The linter refused a joined string of odd_answer_suite.

--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -81,7 +81,9 @@
     auto read_all() -> void;
     auto read_page(const std::string& prefix, const std::string& after) -> void;
     auto on_page(const std::string& prefix, const feed_reply& reply) -> void;
-    [[nodiscard]] auto advances(const feed_page& page) -> bool;
+    /// \brief Records where a page that others follow ends.
+    /// \returns Whether the list advances: no earlier page of it ended there.
+    [[nodiscard]] auto record_page_end(const feed_page& page) -> bool;
     auto abandon_list(const std::string& prefix, const feed_page& page) -> void;
     auto finish_full_read() -> void;
     auto watch() -> void;
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -74,7 +74,7 @@
         schedule_after(retry_delay(), &feed_subscriber::read_all);
         return;
     }
-    if (reply.page.truncated && !advances(reply.page)) {
+    if (reply.page.truncated && !record_page_end(reply.page)) {
         abandon_list(prefix, reply.page);
         return;
     }
@@ -102,7 +102,7 @@
     }
 }
 
-auto feed_subscriber::advances(const feed_page& page) -> bool
+auto feed_subscriber::record_page_end(const feed_page& page) -> bool
 {
     // A list whose pages all end at different keys ends, whatever the order of its keys.
     return !page.events.empty() && page_ends_.insert(page.events.back().key).second;
--- a/tests/soak/soak_calm.cpp
+++ b/tests/soak/soak_calm.cpp
@@ -25,7 +25,7 @@
 constexpr auto exposed_share = 0.1;
 constexpr auto exposed_slack = 50.0;
 constexpr auto stop_bound = seconds{5};
-/// What another writer may leave in the list of targets.
+/// What another writer may leave under the keys that instances read.
 const auto odd_values = std::array<std::string, 5>{
     "", "\xff\xfe", "{}", R"({"service":1,"state":[]})",
     R"({"service":"nobody","address":"127.0.0.1:1","zone":"a","version":"v1","slots":2,)"
@@ -107,10 +107,12 @@
 auto soak_world::restart_beside_odd_entries() -> void
 {
     // As many of each name as a page holds, so that a page ends at one of them.
-    for (const auto* name : {"&", "+", "#", "%", " "}) {
-        for (auto index = std::size_t{0}; index < page_size; ++index) {
-            store_.put("servers/t1" + std::string{name} + std::to_string(index),
-                       odd_values.at(index % odd_values.size()));
+    for (const auto* prefix : {"servers/t1", "members/i1", "status/rollout/m"}) {
+        for (const auto* name : {"&", "+", "#", "%", " "}) {
+            for (auto index = std::size_t{0}; index < page_size; ++index) {
+                store_.put(std::string{prefix} + name + std::to_string(index),
+                           odd_values.at(index % odd_values.size()));
+            }
         }
     }
     for (auto& entry : entries_) {
--- a/tests/soak/store_stand_in.cpp
+++ b/tests/soak/store_stand_in.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr auto status_ok = 200U;
+
 /// Decodes a part of a query: `+` is a blank and `%` begins the number of a byte.
 auto decode_query(std::string text) -> std::string
 {
--- a/tests/unit/entry/odd_answer_test.cpp
+++ b/tests/unit/entry/odd_answer_test.cpp
@@ -191,9 +191,10 @@
     for (const auto* coding :
          {"gzip, chunked", "chunked, gzip", "gzip\r\nTransfer-Encoding: chunked", "gzip",
           "xchunked", "chunked;q=1", "\"chunked\"", ""}) {
-        expect_failure(head + "Transfer-Encoding: " + coding + chunk);
-        expect_failure(head + "Transfer-Encoding: " + coding +
-                       "\r\nContent-Length: 16\r\n\r\n0123456789abcdef");
+        auto coded = head;
+        coded.append("Transfer-Encoding: ").append(coding);
+        expect_failure(coded + chunk);
+        expect_failure(coded + "\r\nContent-Length: 16\r\n\r\n0123456789abcdef");
     }
 }
 
--- a/tests/unit/platform/odd_entries_test.cpp
+++ b/tests/unit/platform/odd_entries_test.cpp
@@ -1,11 +1,7 @@
 #include "names.hpp"
-#include "soak/store_stand_in.hpp"
-#include "support/loopback.hpp"
-#include "view_feed.hpp"
+#include "support/view_feed_fixture.hpp"
 
 #include <knapweedchute/feed/feed_subscriber.hpp>
-#include <knapweedchute/net/asio_timer_queue.hpp>
-#include <knapweedchute/net/caller_listener.hpp>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -15,6 +11,7 @@
 #include <vector>
 
 using namespace knapweedchute;
+using namespace knapweedchute::test;
 
 namespace {
 
@@ -24,20 +21,8 @@
     "\x7f", {"\0", 1}, "\xc3\xa9", "&after=z-9", "&prefix=op/", " HTTP/1.1"};
 
 /// An instance that starts and reads the whole list from a store on loopback, in small pages.
-struct odd_entries_fixture
+struct odd_entries_fixture : view_feed_fixture
 {
-    boost::asio::io_context loop{1};
-    asio_timer_queue timers{loop};
-    header_names names = platform::interface().headers;
-    soak::store_stand_in store{timers};
-    caller_listener listener{loop, store, timers, names};
-    address where{test::loopback_ip, test::free_port()};
-    counter_set counters;
-    platform::store_client client{loop, timers, where, counters, milliseconds{600}};
-    cluster_view view{1};
-    member self{"i1", "a", {1, 1}, {1, 2}, {1, 3}, 1, member_state::alive};
-    peer_port peers{loop, timers, self, {}, envelope{"test", message_key{"0123456789abcdef"}}};
-    platform::view_feed feed{timers, client, view, peers, self};
     feed_subscriber subscriber{timers,
                                client,
                                [this](const member&) -> feed_source& { return client; },
@@ -50,8 +35,6 @@
 
     odd_entries_fixture()
     {
-        auto reason = error{};
-        BOOST_REQUIRE(listener.open(where, reason));
         store.set_page_size(page_size);
         store.put("op/config", R"({"version":1,"routes":[],"services":[]})");
         for (const auto* id : {"a-1", "m-1", "z-1", "z-2", "z-3"}) {
--- a/tests/unit/platform/view_feed_test.cpp
+++ b/tests/unit/platform/view_feed_test.cpp
@@ -1,39 +1,14 @@
-#include "names.hpp"
-#include "soak/store_stand_in.hpp"
-#include "support/loopback.hpp"
-#include "view_feed.hpp"
-
-#include <knapweedchute/net/asio_timer_queue.hpp>
-#include <knapweedchute/net/caller_listener.hpp>
+#include "support/view_feed_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace knapweedchute;
+using namespace knapweedchute::test;
 
 namespace {
 
-/// A view_feed with a store on loopback; the port for peers is not opened.
-struct view_feed_fixture
+struct rollout_record_fixture : view_feed_fixture
 {
-    boost::asio::io_context loop{1};
-    asio_timer_queue timers{loop};
-    header_names names = platform::interface().headers;
-    soak::store_stand_in store{timers};
-    caller_listener listener{loop, store, timers, names};
-    address where{test::loopback_ip, test::free_port()};
-    counter_set counters;
-    platform::store_client client{loop, timers, where, counters, milliseconds{600}};
-    cluster_view view{1};
-    member self{"i1", "a", {1, 1}, {1, 2}, {1, 3}, 1, member_state::alive};
-    peer_port peers{loop, timers, self, {}, envelope{"test", message_key{"0123456789abcdef"}}};
-    platform::view_feed feed{timers, client, view, peers, self};
-
-    view_feed_fixture()
-    {
-        auto reason = error{};
-        BOOST_REQUIRE(listener.open(where, reason));
-    }
-
     auto write(rollout_result result) -> std::string
     {
         feed.write("s", {"v2", 3, 1'000, false, result});
@@ -44,7 +19,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(view_feed_suite, view_feed_fixture)
+BOOST_FIXTURE_TEST_SUITE(view_feed_suite, rollout_record_fixture)
 
 BOOST_AUTO_TEST_CASE(record_write_replaces_the_revision_last_received)
 {
