Ages of what is known can be proved: no delay on the way makes it look newer

Cause: an age counted from when an answer is read. Keys that were taken away must be refused in time by instances that are cut off or follow one that is. Change: with proved feed limits an age counts from the call's beginning, a watch of the store without changes proves its wait besides, a peer states its age as of the call's arrival, and an answer that may be cut proves nothing.

--- a/include/knapweedchute/feed/feed_handler.hpp
+++ b/include/knapweedchute/feed/feed_handler.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace knapweedchute {
 
@@ -28,12 +29,15 @@
         std::uint64_t after = 0;
         responder respond;
         timer_id timer = 0;
+        std::optional<duration> arrived; ///< When the call arrived, if ages are as of then.
     };
 
     auto wait_for_changes(const std::string& query, responder respond) -> std::uint64_t;
     auto answer_waiting_peers() -> void;
     auto answer_peer(std::uint64_t id, bool even_if_empty) -> void;
-    [[nodiscard]] auto encode(const feed_page& page) const -> relayed_answer;
+    /// \param arrived Time as of which the age is stated; empty: now.
+    [[nodiscard]] auto encode(const feed_page& page, std::optional<duration> arrived) const
+        -> relayed_answer;
 
     timer_queue* timers_;
     envelope codec_;
--- a/include/knapweedchute/feed/feed_limits.hpp
+++ b/include/knapweedchute/feed/feed_limits.hpp
@@ -17,7 +17,15 @@
 {
 public:
     /// \param propagation Time within which a change of the store must be in use.
-    explicit constexpr feed_limits(milliseconds propagation) noexcept : propagation_{propagation} {}
+    /// \param proved      Whether ages count from what the source is known to have stated, so that
+    ///                    no delay on the way makes knowledge look newer than it is.
+    explicit constexpr feed_limits(milliseconds propagation, bool proved = false) noexcept
+        : propagation_{propagation}, proved_{proved}
+    {
+    }
+
+    /// \brief Whether ages are proved.
+    [[nodiscard]] constexpr auto proved() const noexcept -> bool { return proved_; }
 
     /// \brief Wait of a watch of the store while other instances follow this one.
     /// \param age Age of what is known; the wait ends with `max_age`.
@@ -30,7 +38,8 @@
     /// \param age Age of what is known; the wait ends with `max_age`.
     [[nodiscard]] constexpr auto direct_watch(duration age) const noexcept -> milliseconds
     {
-        return remaining(age);
+        // A change that ends the wait proves no more than that the call had begun.
+        return proved_ ? shared_watch(age) : remaining(age);
     }
 
     /// \brief Time after a watch's wait from which a connection to the store is considered silent.
@@ -74,6 +83,7 @@
     }
 
     milliseconds propagation_;
+    bool proved_;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -67,6 +67,9 @@
     /// \brief Returns how long the cache may still be served to peers without news of the store.
     [[nodiscard]] auto serving_time_left() const -> duration;
 
+    /// \brief Returns the time by the clock of ages.
+    [[nodiscard]] auto uptime() const -> duration { return uptime_(); }
+
     /// \brief Ends a watch in progress, as peers know of a change that its source has not told.
     auto suspect_source() -> void;
 
@@ -95,6 +98,10 @@
     auto record_contact(bool recent_disruption) -> void;
     auto begin_call(milliseconds wait) -> void;
     auto record_age(const feed_page& page) -> void;
+    /// \brief Whether the store may have more changes up to now than the page holds.
+    [[nodiscard]] auto may_be_cut(const feed_page& page) const -> bool;
+    /// \brief Returns a time at which every change that the page does not hold had not been made.
+    [[nodiscard]] auto proved_time(const feed_page& page) const -> duration;
     [[nodiscard]] auto age_text() const -> std::string;
     auto schedule_after(duration delay, void (feed_subscriber::*task)()) -> void;
     [[nodiscard]] auto is_too_old(const feed_page& page) const -> bool;
--- a/include/knapweedchute/feed/peer_feed_source.hpp
+++ b/include/knapweedchute/feed/peer_feed_source.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <knapweedchute/feed/feed_limits.hpp>
 #include <knapweedchute/feed/feed_source.hpp>
 #include <knapweedchute/net/call_client.hpp>
 #include <knapweedchute/wire/envelope.hpp>
@@ -10,9 +11,12 @@
 class peer_feed_source final : public feed_source
 {
 public:
-    /// \param watch_margin Time beyond a watch's wait after which the call fails.
+    /// End of a watch's query that asks for ages as of the arrival of the call.
+    static constexpr auto proved_ages = std::string_view{",proved"};
+
+    /// \param limits Waits and ages that are allowed.
     peer_feed_source(boost::asio::io_context& loop, timer_queue& timers, const address& peer,
-                     envelope codec, duration watch_margin);
+                     envelope codec, feed_limits limits);
 
     auto read(const std::string& prefix, const std::string& after, bool allow_stale, listener done)
         -> void override;
@@ -26,6 +30,7 @@
     call_client client_;
     envelope codec_;
     duration watch_margin_;
+    bool proved_;
 };
 
 } // namespace knapweedchute
--- a/src/feed/feed_handler.cpp
+++ b/src/feed/feed_handler.cpp
@@ -1,4 +1,5 @@
 #include <knapweedchute/feed/feed_handler.hpp>
+#include <knapweedchute/feed/peer_feed_source.hpp>
 #include <knapweedchute/relay/refusal_answer.hpp>
 
 #include <algorithm>
@@ -38,7 +39,7 @@
         return 0;
     }
     if (request.target == "/feed/all") {
-        respond(encode(cache->full_state()));
+        respond(encode(cache->full_state(), std::nullopt));
         return 0;
     }
     constexpr auto changes_prefix = std::string_view{"/feed/changes?"};
@@ -58,6 +59,9 @@
     if (parsed_after.ptr != end) {
         std::from_chars(parsed_after.ptr + 1, end, wait_ms);
     }
+    if (query.ends_with(peer_feed_source::proved_ages)) {
+        peer.arrived = subscriber_->uptime();
+    }
     wait_ms = std::clamp<std::int64_t>(wait_ms, 0, max_wait_ms);
     // A peer that waits for changes is told as soon as this cache has become too old.
     const auto wait = std::min<duration>(milliseconds{wait_ms}, subscriber_->serving_time_left());
@@ -103,18 +107,21 @@
     if (cache == nullptr) {
         node.mapped().respond(not_run_answer(not_serving, duration::zero()));
     } else if (page) {
-        node.mapped().respond(encode(*page));
+        node.mapped().respond(encode(*page, node.mapped().arrived));
     } else {
         node.mapped().respond(error_answer(status_gone, "not kept any more"));
     }
 }
 
-auto feed_handler::encode(const feed_page& page) const -> relayed_answer
+auto feed_handler::encode(const feed_page& page, std::optional<duration> arrived) const
+    -> relayed_answer
 {
     auto answer_page = page;
     answer_page.recent_disruption = subscriber_->has_recent_disruption();
     const auto age = std::chrono::ceil<milliseconds>(subscriber_->age().value_or(max_age));
-    answer_page.age_ms = static_cast<std::uint64_t>(age.count());
+    const auto held = arrived ? std::chrono::floor<milliseconds>(subscriber_->uptime() - *arrived)
+                              : milliseconds{0};
+    answer_page.age_ms = static_cast<std::uint64_t>((age - held).count());
     return {status_ok, {}, codec_.encode(answer_page)};
 }
 
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -21,6 +21,8 @@
 constexpr auto hold_duration = milliseconds{2'400};
 /// Time after a disruption during which a missing entry may be a consequence of it.
 constexpr auto disruption_window = milliseconds{4'000};
+/// The store's lists end after about 500 items; a watch's answer may, too.
+constexpr auto max_proving_events = std::size_t{450};
 const auto log_line = logger{"feed"};
 
 } // namespace
@@ -193,8 +195,8 @@
     if (on_change_) {
         on_change_();
     }
-    schedule_after(reply.page.events.empty() ? duration::zero() : duration{batching_delay},
-                   &feed_subscriber::watch);
+    const auto at_once = reply.page.events.empty() || (limits_.proved() && may_be_cut(reply.page));
+    schedule_after(at_once ? duration::zero() : duration{batching_delay}, &feed_subscriber::watch);
 }
 
 auto feed_subscriber::notify_listener(const feed_event& event) -> bool
@@ -277,7 +279,8 @@
 
 auto feed_subscriber::is_too_old(const feed_page& page) const -> bool
 {
-    return followed_peer_ && milliseconds{page.age_ms} >= limits_.max_age();
+    return followed_peer_ &&
+           milliseconds{static_cast<std::int64_t>(page.age_ms)} >= limits_.max_age();
 }
 
 auto feed_subscriber::begin_call(milliseconds wait) -> void
@@ -288,6 +291,12 @@
 
 auto feed_subscriber::record_age(const feed_page& page) -> void
 {
+    if (limits_.proved() && !may_be_cut(page)) {
+        up_to_date_at_ = std::max(up_to_date_at_.value_or(duration::min()), proved_time(page));
+    }
+    if (limits_.proved()) {
+        return;
+    }
     // An answer may have been held up, by a pause of this process for example; then it proves only
     // what it says of the latest moment at which the source can have sent it.
     const auto latest = call_began_at_ + call_wait_;
@@ -296,6 +305,22 @@
     up_to_date_at_ = proved_at - milliseconds{page.age_ms};
 }
 
+auto feed_subscriber::may_be_cut(const feed_page& page) const -> bool
+{
+    return !followed_peer_ && (page.truncated || page.events.size() >= max_proving_events);
+}
+
+auto feed_subscriber::proved_time(const feed_page& page) const -> duration
+{
+    // A peer states its age as of the arrival of the call, the store holds a watch without changes
+    // for its whole wait; anything else may have been stated as soon as the call had begun.
+    if (followed_peer_) {
+        return call_began_at_ - milliseconds{static_cast<std::int64_t>(page.age_ms)};
+    }
+    const auto waited = page.events.empty() && uptime_() - call_began_at_ >= call_wait_;
+    return call_began_at_ + (waited ? call_wait_ : milliseconds{0});
+}
+
 auto feed_subscriber::age_text() const -> std::string
 {
     const auto known = age();
--- a/src/feed/peer_feed_source.cpp
+++ b/src/feed/peer_feed_source.cpp
@@ -13,8 +13,9 @@
 } // namespace
 
 peer_feed_source::peer_feed_source(boost::asio::io_context& loop, timer_queue& timers,
-                                   const address& peer, envelope codec, duration watch_margin)
-    : client_{loop, timers, peer}, codec_{std::move(codec)}, watch_margin_{watch_margin}
+                                   const address& peer, envelope codec, feed_limits limits)
+    : client_{loop, timers, peer}, codec_{std::move(codec)},
+      watch_margin_{limits.peer_margin()}, proved_{limits.proved()}
 {
 }
 
@@ -26,7 +27,8 @@
 
 auto peer_feed_source::watch(std::uint64_t after, milliseconds wait, listener done) -> void
 {
-    call("/feed/changes?" + std::to_string(after) + "," + std::to_string(wait.count()),
+    call("/feed/changes?" + std::to_string(after) + "," + std::to_string(wait.count()) +
+             (proved_ ? std::string{proved_ages} : ""),
          wait + watch_margin_, std::move(done));
 }
 
