Keys of workspaces: checked, taken off, replaced by their workspace's name, revoked in time

Change: workspaces are part of the route table, found by keyed digests; keys are replaced by digests where a configuration arrives from the store. A request is checked when it arrives and before each send; without proof of what is known it is answered 503. Takes effect only for configurations with workspaces.

--- a/include/knapweedchute/admission/relay_admission.hpp
+++ b/include/knapweedchute/admission/relay_admission.hpp
@@ -44,6 +44,8 @@
     time_point deadline;                  ///< When its answer must be sent.
     double slots = 1.0;                   ///< Slots that the group has for this instance.
     duration typical{0};                  ///< Typical latency of such a request.
+    int priority = 0;                     ///< Its priority; 0 is served first.
+    std::string workspace = {};           ///< Workspace that it belongs to; empty: none.
 };
 
 /// \brief Decides which requests are sent to targets, which wait and which are rejected.
--- a/include/knapweedchute/core/counter.hpp
+++ b/include/knapweedchute/core/counter.hpp
@@ -42,6 +42,8 @@
     store_watches,
     store_writes,
     store_calls_lost,
+    keys_refused,
+    keys_unproved,
     last ///< Number of counters, not a counter.
 };
 
--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -84,6 +84,7 @@
     auto update_member_counts() -> void;
     auto record_loop_lag(time_point due) -> void;
     auto log_evictions() -> void;
+    auto log_proof() -> void;
     auto record_peer_configuration(const std::string& peer, std::uint64_t version) -> void;
     [[nodiscard]] auto configuration_version() const -> std::uint64_t;
     auto finish_stop(time_point deadline) -> void;
@@ -109,6 +110,9 @@
     extra_request_window extras_;
     cold_limiter cold_limiter_;
     connection_pool pool_;
+    key_digester key_digester_;
+    key_authority key_authority_;
+    request_authorizer authorizer_;
     relay_coordinator coordinator_;
     address_selector address_selector_;
     relay_handler relay_;
@@ -134,6 +138,7 @@
     /// Whether the known members are recent enough to divide a limit that must not be exceeded.
     renewed_knowledge member_knowledge_{milliseconds{1'500}, milliseconds{1'000}};
     std::uint64_t logged_evictions_ = 0;
+    bool keys_accepted_ = false; ///< Whether keys were accepted at the last check for the log.
     time_point evictions_logged_at_;
     bool stopping_ = false;
     bool finishing_ = false; ///< Whether connections are no longer accepted.
--- a/include/knapweedchute/entry/entry_settings.hpp
+++ b/include/knapweedchute/entry/entry_settings.hpp
@@ -29,9 +29,27 @@
     /// Time within which a change of the store must be in use: the least of the limits of routes,
     /// leaving targets and excluded zones.
     milliseconds propagation_limit{3'000};
+    /// Time after its revocation from which a key is accepted nowhere; empty: no such limit.
+    std::optional<milliseconds> revocation_limit;
     std::size_t memory_limit = default_memory_limit; ///< Memory of the process, in bytes.
 
     static constexpr auto default_memory_limit = std::size_t{256} << 20U;
 };
 
+/// \brief Time within which changes are in use where revoked keys must be refused in time.
+/// \detail Part of the limit, so that an instance whose source of changes was lost still has proof
+///         when it has found another one.
+[[nodiscard]] constexpr auto key_propagation(milliseconds revocation_limit) noexcept -> milliseconds
+{
+    return revocation_limit * 3 / 5;
+}
+
+/// \brief Age of what is known up to which keys are accepted.
+/// \detail The rest of the limit is for what no call to the store can tell: a watch that hears
+///         nothing for a moment before the store drops its history, and drifting clocks.
+[[nodiscard]] constexpr auto max_key_age(milliseconds revocation_limit) noexcept -> milliseconds
+{
+    return revocation_limit * 3 / 4;
+}
+
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/header_names.hpp
+++ b/include/knapweedchute/relay/header_names.hpp
@@ -16,6 +16,7 @@
     std::string proofs;          ///< Proofs of all parts in a query's answer.
     std::string missing;         ///< Number of shards missing from a query's answer.
     std::string leaving = {};    ///< Present in the answers of a target that is shutting down.
+    std::string workspace = {};  ///< Name of the workspace that a request belongs to.
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/impl/relay_call.hpp
+++ b/include/knapweedchute/relay/impl/relay_call.hpp
@@ -8,6 +8,7 @@
 #include <knapweedchute/relay/relayed_request.hpp>
 #include <knapweedchute/relay/timer_queue.hpp>
 #include <knapweedchute/route/route_table.hpp>
+#include <knapweedchute/workspace/key_authority.hpp>
 
 #include <functional>
 #include <map>
@@ -53,6 +54,9 @@
     std::shared_ptr<const route_table> table;    ///< Route table at admission; kept until the end.
     const route* matched_route = nullptr;        ///< Route of the request, owned by `table`.
     relayed_request request;                     ///< Request of the caller.
+    std::string workspace;                       ///< Workspace of the request; empty: none.
+    std::optional<key_digest> key;               ///< Key that must be valid at each send.
+    std::optional<key_verdict> key_refusal;      ///< Why its key stopped a send.
     std::function<void(relayed_answer)> respond; ///< Receives the final answer; called once.
     std::vector<call_part> parts;                ///< One per shard; a single one for relays.
     std::size_t kept_bytes = 0;                  ///< Bytes of the answers and failures of `parts`.
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -13,6 +13,8 @@
 #include <knapweedchute/relay/target_selector.hpp>
 #include <knapweedchute/rollout/version_monitor.hpp>
 #include <knapweedchute/route/weighted_split.hpp>
+#include <knapweedchute/workspace/request_authorizer.hpp>
+#include <knapweedchute/workspace/run_observer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -38,6 +40,10 @@
     version_monitor& versions;    ///< Counts request outcomes of services in rollout.
     counter_set& counters;        ///< Event counters.
     memory_budget& memory;        ///< Budget of the answers that are kept.
+    /// Checks callers' keys; null: requests need none.
+    const request_authorizer* authorizer = nullptr;
+    /// Notified of the requests that begin to run at targets; null: nobody is.
+    run_observer* runs = nullptr;
 };
 
 /// \brief Sends callers' requests to targets and returns the answers.
@@ -117,6 +123,8 @@
     auto admit_waiting(const std::string& group) -> void;
     auto set_timers(const shared_call& call) -> void;
     auto dispatch_part(const shared_call& call, std::size_t index) -> void;
+    /// Whether the key of a request still allows to send its parts; records why not.
+    [[nodiscard]] auto key_allows_send(call_state& call) const -> bool;
     auto send_part(const shared_call& call, std::size_t index, const selection& selected,
                    impl::trace_step step) -> void;
     auto record_step(call_state& call, std::size_t index, impl::trace_step step,
@@ -165,6 +173,8 @@
     version_monitor* versions_;
     counter_set* counters_;
     memory_budget* memory_;
+    const request_authorizer* authorizer_;
+    run_observer* runs_;
     target_selector selector_;
     route_latency route_latency_;
     weighted_split split_;
--- a/include/knapweedchute/route/route.hpp
+++ b/include/knapweedchute/route/route.hpp
@@ -32,6 +32,7 @@
     std::vector<std::string> shards;     ///< Services that each answer one part; empty for relays.
     std::size_t top = 0;                 ///< Maximum records in a query's answer.
     double min_coverage = 0.0;           ///< Minimum fraction of shards in an answer, 0 to 1.
+    bool is_public = false;              ///< Whether requests need no key of a workspace.
 
     [[nodiscard]] auto operator==(const route&) const -> bool = default;
 
--- a/include/knapweedchute/route/route_table.hpp
+++ b/include/knapweedchute/route/route_table.hpp
@@ -3,8 +3,10 @@
 #include <knapweedchute/route/caller_limits.hpp>
 #include <knapweedchute/route/route.hpp>
 #include <knapweedchute/route/service_rules.hpp>
+#include <knapweedchute/workspace/workspace_directory.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -26,8 +28,10 @@
     /// \param routes   Routes in any order.
     /// \param services Limits of services.
     /// \param limits   Limits of callers.
+    /// \param workspaces Workspaces and their keys; null: requests need no key.
     route_table(std::uint64_t version, std::vector<route> routes,
-                const std::vector<service_rules>& services, caller_limits limits);
+                const std::vector<service_rules>& services, caller_limits limits,
+                std::shared_ptr<const workspace_directory> workspaces = nullptr);
 
     /// \brief Returns the route of a host with the longest prefix that matches `path`.
     /// \param host Host of the request; case and port are ignored.
@@ -40,6 +44,11 @@
 
     [[nodiscard]] auto version() const noexcept -> std::uint64_t { return version_; }
     [[nodiscard]] auto limits() const noexcept -> const caller_limits& { return limits_; }
+    /// \brief Workspaces and their keys; null if requests need no key.
+    [[nodiscard]] auto workspaces() const noexcept -> const workspace_directory*
+    {
+        return workspaces_.get();
+    }
     [[nodiscard]] auto routes() const noexcept -> const std::vector<route>& { return routes_; }
 
 private:
@@ -49,6 +58,7 @@
     std::unordered_map<std::string, service_rules> services_;
     service_rules no_rules_;
     caller_limits limits_;
+    std::shared_ptr<const workspace_directory> workspaces_;
 };
 
 } // namespace knapweedchute
--- a/src/admission/relay_admission.cpp
+++ b/src/admission/relay_admission.cpp
@@ -27,7 +27,7 @@
     const auto& kind = request.matched_route->name;
     group.used_at = now;
     group.limit.set_min(std::ceil(request.slots * requests_per_slot));
-    group.queue.on_arrival(kind, request.matched_route->priority, now);
+    group.queue.on_arrival(kind, request.priority, now);
     auto verdict = admission_verdict{};
     verdict.limit = group.limit.value();
     verdict.in_progress = group.in_progress;
@@ -44,8 +44,7 @@
         return verdict;
     }
     verdict.decision = admission_decision::wait;
-    const auto entry =
-        waiting_request{request.id, kind, request.matched_route->priority, now + verdict.max_wait};
+    const auto entry = waiting_request{request.id, kind, request.priority, now + verdict.max_wait};
     group.queue.push(entry);
     waiting_.emplace(request.id, entry);
     return verdict;
@@ -88,7 +87,7 @@
 {
     const auto group = groups_.find(request.group);
     const auto rate = group == groups_.end() ? 0.0 : end_rate(group->second, request.typical);
-    return returns_.next(rate, request.deadline - now, request.matched_route->priority, now);
+    return returns_.next(rate, request.deadline - now, request.priority, now);
 }
 
 auto relay_admission::is_overloaded(const std::string& group, time_point now) const -> bool
--- a/src/core/counter.cpp
+++ b/src/core/counter.cpp
@@ -39,8 +39,10 @@
     {counter::store_watches, "store_watches"},
     {counter::store_writes, "store_writes"},
     {counter::store_calls_lost, "store_calls_lost"},
+    {counter::keys_refused, "keys_refused"},
+    {counter::keys_unproved, "keys_unproved"},
 }};
-static_assert(is_complete(names, counter::store_calls_lost));
+static_assert(is_complete(names, counter::keys_unproved));
 
 } // namespace
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -53,6 +53,21 @@
             member_state::joining, values.processor_permil};
 }
 
+/// Ages are proved where keys depend on them.
+auto feed_limits_of(const entry_settings& values) -> feed_limits
+{
+    return feed_limits{values.propagation_limit, values.revocation_limit.has_value()};
+}
+
+auto key_limits_of(const entry_settings& values) -> key_limits
+{
+    auto limits = key_limits{std::nullopt, values.propagation_limit};
+    if (values.revocation_limit) {
+        limits.max_accept_age = max_key_age(*values.revocation_limit);
+    }
+    return limits;
+}
+
 /// The settings contain no secret, so the store address serves as deployment name and key: messages
 /// of deployments with another store are refused.
 auto make_peer_envelope(const entry_settings& values) -> envelope
@@ -74,11 +89,15 @@
       cold_limiter_{[this](const auto& target) { return cold_share(target); }},
       pool_{loop_, timers_, interface_.headers,
             [this](const auto& target) { return connection_share(target); }, answer_memory_},
+      key_digester_{to_string(values.store_address)},
+      key_authority_{key_limits_of(values), [this] { return view_.table().get(); },
+                     [this] { return subscriber_ ? subscriber_->age() : std::nullopt; }},
+      authorizer_{interface_.headers.workspace, key_digester_, key_authority_},
       coordinator_{{},
                    interface_.headers,
                    values.availability_zone,
                    {view_.targets(), pool_, timers_, extras_, cold_limiter_, view_.versions(),
-                    counters_, answer_memory_},
+                    counters_, answer_memory_, &authorizer_},
                    incarnation},
       address_selector_{incarnation}, relay_{view_, coordinator_},
       readiness_{{{interface_.readiness_path, [this](const auto&) { return answer_readiness(); }}}},
@@ -117,7 +136,7 @@
     subscriber_.emplace(
         timers_, store, [this](const auto& peer) -> feed_source& { return peer_feed(peer); },
         [this] { return peers_.members(); }, peers_.self(), listener, std::move(fresh_prefix),
-        feed_limits{settings_.propagation_limit}, boot_time);
+        feed_limits_of(settings_), boot_time);
     feed_handler_.set_subscriber(*subscriber_);
     peers_.on_configuration(
         [this](const auto& peer, auto version) { record_peer_configuration(peer, version); });
@@ -151,9 +170,9 @@
 {
     auto& source = peer_feeds_[peer.peer_address];
     if (!source) {
-        source = std::make_unique<peer_feed_source>(
-            loop_, timers_, peer.peer_address, make_peer_envelope(settings_),
-            feed_limits{settings_.propagation_limit}.peer_margin());
+        source = std::make_unique<peer_feed_source>(loop_, timers_, peer.peer_address,
+                                                    make_peer_envelope(settings_),
+                                                    feed_limits_of(settings_));
     }
     return *source;
 }
@@ -175,6 +194,7 @@
     compare("peer_address", settings_.peer_address, values.peer_address);
     compare("store_address", settings_.store_address, values.store_address);
     compare("propagation_limit", settings_.propagation_limit, values.propagation_limit);
+    compare("revocation_limit", settings_.revocation_limit, values.revocation_limit);
     compare("memory_limit", settings_.memory_limit, values.memory_limit);
     compare("processor_share", settings_.processor_permil, values.processor_permil);
     extras_.set_limits(values.extras);
@@ -243,6 +263,7 @@
     cold_limiter_.remove_before(now - cold_state_retention);
     update_member_counts();
     log_evictions();
+    log_proof();
     if (!stopping_ && view_.ready() && peers_.self().state == member_state::joining) {
         peers_.announce(member_state::alive);
         log_line.info("Serving callers.");
@@ -261,6 +282,22 @@
         std::max<duration>(lag, std::chrono::duration_cast<duration>(recent_max_lag_ * decay));
 }
 
+auto entry_instance::log_proof() -> void
+{
+    const auto& table = view_.table();
+    if (!settings_.revocation_limit || !table || table->workspaces() == nullptr ||
+        std::exchange(keys_accepted_, key_authority_.accepts()) == key_authority_.accepts()) {
+        return;
+    }
+    const auto age = key_authority_.age();
+    const auto age_ms = age ? std::to_string(*age / milliseconds{1}) : std::string{"unknown"};
+    if (keys_accepted_) {
+        log_line.info("Proof regained.", {{"age_ms", age_ms}});
+    } else {
+        log_line.warning("Proof lost.", {{"age_ms", age_ms}});
+    }
+}
+
 auto entry_instance::log_evictions() -> void
 {
     const auto evicted = counters_.value(counter::answers_evicted);
--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -55,6 +55,13 @@
     const auto age = subscriber_ ? subscriber_->age() : std::nullopt;
     text += gauge_text("feed_age_seconds", "", age ? seconds_of(*age) : -1.0);
     text += gauge_text("feed_follows_peer", "", subscriber_ && subscriber_->follows_peer() ? 1 : 0);
+    const auto* const workspaces = table ? table->workspaces() : nullptr;
+    const auto known = [&](auto count) {
+        return workspaces == nullptr ? 0.0 : static_cast<double>((workspaces->*count)());
+    };
+    text += gauge_text("workspaces", "", known(&workspace_directory::size));
+    text += gauge_text("workspace_keys", "", known(&workspace_directory::key_count));
+    text += gauge_text("keys_accepted", "", key_authority_.accepts() ? 1 : 0);
     text += gauge_text("targets", "", static_cast<double>(view_.targets().size()));
     text += gauge_text("instances", "", static_cast<double>(instance_count_));
     text += gauge_text("connections", "", static_cast<double>(pool_.open_connections()));
--- a/src/entry/entry_settings_reader.cpp
+++ b/src/entry/entry_settings_reader.cpp
@@ -49,6 +49,13 @@
     };
     value.propagation_limit = std::min({read_limit("configuration_limit_ms"),
                                         read_limit("drain_limit_ms"), read_limit("zone_limit_ms")});
+    constexpr auto default_revocation_ms = std::int64_t{5'000};
+    const auto revocation = milliseconds{reader.integer_or("revocation_limit_ms", min_limit_ms,
+                                                           max_period_ms, default_revocation_ms)};
+    if (reader.flag_or("strict_revocation", false)) {
+        value.revocation_limit = revocation;
+        value.propagation_limit = std::min(value.propagation_limit, key_propagation(revocation));
+    }
     constexpr auto default_memory_mb =
         static_cast<std::int64_t>(entry_settings::default_memory_limit) / mebibyte;
     value.memory_limit =
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -54,6 +54,7 @@
       port_{&dependencies.port}, timers_{&dependencies.timers}, extras_{&dependencies.extras},
       cold_{&dependencies.cold}, versions_{&dependencies.versions},
       counters_{&dependencies.counters}, memory_{&dependencies.memory},
+      authorizer_{dependencies.authorizer}, runs_{dependencies.runs},
       selector_{policy, own_zone, dependencies.registry, dependencies.port, dependencies.cold,
                 seed},
       capacity_{dependencies.registry}, admission_{seed}, log_{dependencies.counters},
@@ -95,6 +96,10 @@
     if (call->deadline - now < policy_.min_time_left) {
         return;
     }
+    if (!key_allows_send(*call)) {
+        part.failed = part.open_exchanges.empty();
+        return;
+    }
     const auto selected = selector_.select_target(part.service, part.tried, now);
     if (selected.target) {
         const auto first = part.tried.empty() && part.rounds == 0;
@@ -120,10 +125,22 @@
     part.failed = true;
 }
 
+auto relay_coordinator::key_allows_send(call_state& call) const -> bool
+{
+    if (!call.key) {
+        return true;
+    }
+    const auto verdict = authorizer_->judge(*call.key);
+    if (verdict != key_verdict::valid) {
+        call.key_refusal = verdict;
+    }
+    return verdict == key_verdict::valid;
+}
+
 auto relay_coordinator::wait_for_capacity(const shared_call& call, std::size_t index) -> void
 {
     call->parts[index].waiting = true;
-    waiting_.emplace(call->matched_route->priority, call->deadline, call->id, index);
+    waiting_.emplace(call->admission.priority, call->deadline, call->id, index);
 }
 
 auto relay_coordinator::record_step(call_state& call, std::size_t index, trace_step step,
@@ -199,6 +216,9 @@
 {
     const auto useful = is_useful(result);
     record_exchange(*call, *target, sent_at, result);
+    if (runs_ != nullptr && !provably_not_run(result.status)) {
+        runs_->on_run({call->workspace, call->id, sent_at, timers_->now(), result.status});
+    }
     if (result.status == exchange_status::wrong_target) {
         registry_->mark_stale(target->id, target->start_unix_ms);
     } else {
@@ -336,7 +356,8 @@
 {
     auto& part = call->parts[index];
     if (part.done() || part.open_exchanges.size() != 1 ||
-        part.tried.size() - part.unsent >= call->matched_route->max_targets) {
+        part.tried.size() - part.unsent >= call->matched_route->max_targets ||
+        !key_allows_send(*call)) {
         return;
     }
     const auto now = timers_->now();
--- a/src/relay/relay_finish.cpp
+++ b/src/relay/relay_finish.cpp
@@ -128,6 +128,9 @@
             return part.may_have_run || !part.open_exchanges.empty() || part.answer;
         });
     counters_->add(counter::queries_refused);
+    if (!may_have_run && call.key_refusal) {
+        return authorizer_->refusal(*call.key_refusal);
+    }
     if (!may_have_run) {
         return not_run_answer("no target can take the request",
                               admission_.retry_after(call.admission, timers_->now()));
--- a/src/relay/relay_start.cpp
+++ b/src/relay/relay_start.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr auto status_not_found = 404U;
+constexpr auto status_unavailable = 503U;
 /// Latency goals reserved before the end of a stop for a request that must not run twice: cut
 /// there, its outcome would stay unknown to the caller.
 constexpr auto at_most_once_reserve = 3;
@@ -41,8 +42,18 @@
                                        retry_after_start(timers_->now() - created_at_)));
         return 0;
     }
+    auto authorized = authorizer_ == nullptr ? authorization{}
+                                             : authorizer_->authorize(*table, *matched, request);
+    if (authorized.refusal) {
+        counters_->add(authorized.refusal->status == status_unavailable ? counter::keys_unproved
+                                                                        : counter::keys_refused);
+        respond(std::move(*authorized.refusal));
+        return 0;
+    }
     auto call = std::make_shared<call_state>();
     call->id = next_call_++;
+    call->key = authorized.key;
+    call->workspace = authorized.owner == nullptr ? std::string{} : authorized.owner->name;
     call->matched_route = matched;
     call->table = std::move(table);
     call->request = std::move(request);
@@ -63,7 +74,11 @@
                        matched,
                        call->deadline,
                        capacity_.slots_of(*matched, services),
-                       route_latency_.typical(*matched)};
+                       route_latency_.typical(*matched),
+                       authorized.owner != nullptr && authorized.owner->priority
+                           ? *authorized.owner->priority
+                           : matched->priority,
+                       call->workspace};
     calls_.emplace(call->id, call);
     admit(call);
     return call->ended() ? 0 : call->id;
@@ -212,7 +227,7 @@
             open_exchanges.push_back(exchange);
         }
         if (call->parts[index].waiting) {
-            waiting_.erase({call->matched_route->priority, call->deadline, call->id, index});
+            waiting_.erase({call->admission.priority, call->deadline, call->id, index});
         }
     }
     counters_->add(counter::parts_cancelled, open_exchanges.size());
--- a/src/route/route_table.cpp
+++ b/src/route/route_table.cpp
@@ -18,8 +18,10 @@
 } // namespace
 
 route_table::route_table(std::uint64_t version, std::vector<route> routes,
-                         const std::vector<service_rules>& services, caller_limits limits)
-    : version_{version}, routes_{std::move(routes)}, limits_{limits}
+                         const std::vector<service_rules>& services, caller_limits limits,
+                         std::shared_ptr<const workspace_directory> workspaces)
+    : version_{version}, routes_{std::move(routes)}, limits_{limits}, workspaces_{
+                                                                          std::move(workspaces)}
 {
     for (const auto& entry : routes_) {
         by_host_[normalized_host(entry.host)].push_back(&entry);
