Usage is counted by workspace and window and reported by one holder

The duty of usage was left undone. Each instance counts runs at targets by window of true time and states its counts to the holder and the next candidate; the holder keeps the content of a window in the store before it sends it. Not measured yet.

--- a/daemons/knapweedchute_entryd.cpp
+++ b/daemons/knapweedchute_entryd.cpp
@@ -1,5 +1,7 @@
 // knapweedchute-entryd: relays callers' requests to targets; every entry instance runs one.
 #include "daemon_start.hpp"
+#include "duty_client.hpp"
+#include "duty_keys.hpp"
 #include "names.hpp"
 #include "store_client.hpp"
 #include "view_feed.hpp"
@@ -14,6 +16,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 namespace {
 
@@ -52,6 +55,15 @@
                                         feed_limits{values.propagation_limit}.store_margin()};
     auto listener = platform::view_feed{instance.timers(), store, instance.view(), instance.peers(),
                                         instance.peers().self()};
+    auto duty = std::optional<platform::duty_keys>{};
+    auto duty_calls = std::optional<platform::duty_client>{};
+    if (auto* const usage = instance.usage()) {
+        duty.emplace(*usage);
+        duty_calls.emplace(instance.loop(), instance.timers(), values.store_address,
+                           values.usage->platform_address, instance.counters(), *duty);
+        listener.set_duty(*duty);
+        usage->start(*duty_calls);
+    }
     instance.start_rollouts(listener);
     instance.follow(store, listener, std::string{platform::operator_prefix});
     auto signals = boost::asio::signal_set{instance.loop(), SIGTERM, SIGINT, SIGHUP};
--- a/include/knapweedchute/core/counter.hpp
+++ b/include/knapweedchute/core/counter.hpp
@@ -44,6 +44,10 @@
     store_calls_lost,
     keys_refused,
     keys_unproved,
+    usage_windows_sent,
+    usage_windows_late,
+    usage_runs_late,
+    usage_rows_dropped,
     last ///< Number of counters, not a counter.
 };
 
--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -20,6 +20,7 @@
 #include <knapweedchute/net/connection_pool.hpp>
 #include <knapweedchute/net/peer_port.hpp>
 #include <knapweedchute/relay/relay_coordinator.hpp>
+#include <knapweedchute/usage/usage_driver.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -77,6 +78,8 @@
     [[nodiscard]] auto timers() noexcept -> timer_queue& { return timers_; }
     [[nodiscard]] auto counters() noexcept -> counter_set& { return counters_; }
     [[nodiscard]] auto view() noexcept -> cluster_view& { return view_; }
+    /// \brief Returns the reports of usage, or null if none are due.
+    [[nodiscard]] auto usage() noexcept -> usage_driver* { return usage_.get(); }
     [[nodiscard]] auto peers() noexcept -> peer_port& { return peers_; }
 
 private:
@@ -96,6 +99,7 @@
     [[nodiscard]] auto answer_readiness() const -> relayed_answer;
     [[nodiscard]] auto answer_addresses() -> relayed_answer;
     [[nodiscard]] auto answer_metrics() const -> relayed_answer;
+    [[nodiscard]] auto answer_counts(const relayed_request& request) -> relayed_answer;
     [[nodiscard]] auto answer_state() const -> relayed_answer;
 
     entry_settings settings_;
@@ -113,6 +117,7 @@
     key_digester key_digester_;
     key_authority key_authority_;
     request_authorizer authorizer_;
+    std::unique_ptr<usage_driver> usage_; ///< Null: no reports are due.
     relay_coordinator coordinator_;
     address_selector address_selector_;
     relay_handler relay_;
--- a/include/knapweedchute/entry/entry_settings.hpp
+++ b/include/knapweedchute/entry/entry_settings.hpp
@@ -10,6 +10,19 @@
 
 namespace knapweedchute {
 
+/// \brief Settings for the reports of usage to the platform.
+struct usage_settings
+{
+    address platform_address;      ///< Accepts the reports.
+    milliseconds window{5'000};    ///< Length of a window.
+    milliseconds late{10'000};     ///< From the end of a window until its report is late.
+    milliseconds lease{3'000};     ///< Time within which no two others may hold the duty.
+    milliseconds min_lease{1'000}; ///< Shortest lease that the store gives.
+    double calls_per_second = 1.0; ///< Reports that the platform accepts from all instances.
+
+    [[nodiscard]] auto operator==(const usage_settings&) const -> bool = default;
+};
+
 /// \brief Settings of an entry process.
 struct entry_settings
 {
@@ -31,6 +44,7 @@
     milliseconds propagation_limit{3'000};
     /// Time after its revocation from which a key is accepted nowhere; empty: no such limit.
     std::optional<milliseconds> revocation_limit;
+    std::optional<usage_settings> usage;             ///< Reports of usage; empty: none are due.
     std::size_t memory_limit = default_memory_limit; ///< Memory of the process, in bytes.
 
     static constexpr auto default_memory_limit = std::size_t{256} << 20U;
--- a/include/knapweedchute/net/call_client.hpp
+++ b/include/knapweedchute/net/call_client.hpp
@@ -37,8 +37,10 @@
     auto abort_call() -> void;
 
     /// \brief Encodes an HTTP request, with a JSON body unless `body` is empty.
+    /// \param fields More header fields.
     [[nodiscard]] auto encode(std::string_view method, std::string_view target,
-                              std::string_view body) const -> std::string;
+                              std::string_view body, const field_list& fields = {}) const
+        -> std::string;
 
 private:
     struct pending
--- a/src/core/counter.cpp
+++ b/src/core/counter.cpp
@@ -41,8 +41,12 @@
     {counter::store_calls_lost, "store_calls_lost"},
     {counter::keys_refused, "keys_refused"},
     {counter::keys_unproved, "keys_unproved"},
+    {counter::usage_windows_sent, "usage_windows_sent"},
+    {counter::usage_windows_late, "usage_windows_late"},
+    {counter::usage_runs_late, "usage_runs_late"},
+    {counter::usage_rows_dropped, "usage_rows_dropped"},
 }};
-static_assert(is_complete(names, counter::keys_unproved));
+static_assert(is_complete(names, counter::usage_rows_dropped));
 
 } // namespace
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -93,11 +93,15 @@
       key_authority_{key_limits_of(values), [this] { return view_.table().get(); },
                      [this] { return subscriber_ ? subscriber_->age() : std::nullopt; }},
       authorizer_{interface_.headers.workspace, key_digester_, key_authority_},
+      usage_{values.usage ? std::make_unique<usage_driver>(loop_, timers_, *values.usage, peers_,
+                                                           counters_, make_peer_envelope(values),
+                                                           interface_.encode_report)
+                          : nullptr},
       coordinator_{{},
                    interface_.headers,
                    values.availability_zone,
                    {view_.targets(), pool_, timers_, extras_, cold_limiter_, view_.versions(),
-                    counters_, answer_memory_, &authorizer_},
+                    counters_, answer_memory_, &authorizer_, usage_.get()},
                    incarnation},
       address_selector_{incarnation}, relay_{view_, coordinator_},
       readiness_{{{interface_.readiness_path, [this](const auto&) { return answer_readiness(); }}}},
@@ -109,7 +113,10 @@
       directory_listener_{loop_, directory_, timers_, interface_.headers},
       admin_listener_{loop_, admin_, timers_, interface_.headers},
       feed_handler_{timers_, make_peer_envelope(values)},
-      peer_pages_{{{"/metrics", [this](const auto&) { return answer_metrics(); }}}, &feed_handler_},
+      peer_pages_{
+          {{"/metrics", [this](const auto&) { return answer_metrics(); }},
+           {"/usage/counts", [this](const auto& request) { return answer_counts(request); }}},
+          &feed_handler_},
       feed_listener_{loop_, peer_pages_, timers_, interface_.headers}
 {
 }
@@ -195,6 +202,7 @@
     compare("store_address", settings_.store_address, values.store_address);
     compare("propagation_limit", settings_.propagation_limit, values.propagation_limit);
     compare("revocation_limit", settings_.revocation_limit, values.revocation_limit);
+    compare("usage", settings_.usage, values.usage);
     compare("memory_limit", settings_.memory_limit, values.memory_limit);
     compare("processor_share", settings_.processor_permil, values.processor_permil);
     extras_.set_limits(values.extras);
--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -62,6 +62,9 @@
     text += gauge_text("workspaces", "", known(&workspace_directory::size));
     text += gauge_text("workspace_keys", "", known(&workspace_directory::key_count));
     text += gauge_text("keys_accepted", "", key_authority_.accepts() ? 1 : 0);
+    text += gauge_text("usage_holder", "", usage_ && usage_->holds() ? 1 : 0);
+    text += gauge_text("usage_windows_open", "",
+                       usage_ ? static_cast<double>(usage_->open_windows()) : 0.0);
     text += gauge_text("targets", "", static_cast<double>(view_.targets().size()));
     text += gauge_text("instances", "", static_cast<double>(instance_count_));
     text += gauge_text("connections", "", static_cast<double>(pool_.open_connections()));
@@ -78,6 +81,18 @@
     return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)};
 }
 
+auto entry_instance::answer_counts(const relayed_request& request) -> relayed_answer
+{
+    constexpr auto status_bad_request = 400U;
+    constexpr auto status_not_found = 404U;
+    if (!usage_) {
+        return error_answer(status_not_found, "no such page");
+    }
+    auto text = usage_->accept(request.body);
+    return text ? relayed_answer{status_ok, {{"Content-Type", "text/plain"}}, std::move(*text)}
+                : error_answer(status_bad_request, "counts not understood");
+}
+
 auto entry_instance::answer_state() const -> relayed_answer
 {
     auto members = nlohmann::json::array();
--- a/src/entry/entry_settings_reader.cpp
+++ b/src/entry/entry_settings_reader.cpp
@@ -18,6 +18,26 @@
 constexpr auto min_memory_mb = std::int64_t{64};
 constexpr auto max_memory_mb = std::int64_t{1'048'576};
 
+/// Reports of usage are due only if their address is set.
+auto read_usage(object_reader& reader) -> std::optional<usage_settings>
+{
+    const auto read_ms = [&](std::string_view key, milliseconds fallback) {
+        return milliseconds{reader.integer_or(key, min_limit_ms, max_period_ms, fallback.count())};
+    };
+    auto value = usage_settings{};
+    value.platform_address = reader.endpoint_or("usage_address", {});
+    constexpr auto max_window_s = std::int64_t{86'400};
+    value.window = seconds{reader.integer_or("usage_window_s", 1, max_window_s, 5)};
+    value.late = seconds{reader.integer_or("usage_late_s", 1, max_window_s, 10)};
+    value.lease = read_ms("usage_lease_ms", value.lease);
+    value.min_lease = read_ms("usage_min_lease_ms", value.min_lease);
+    constexpr auto min_rate = 0.01;
+    constexpr auto max_rate = 1e6;
+    value.calls_per_second =
+        reader.number_or("usage_calls_per_s", min_rate, max_rate, value.calls_per_second);
+    return value.platform_address == address{} ? std::nullopt : std::optional{value};
+}
+
 auto read_settings(object_reader& reader) -> entry_settings
 {
     const auto read_milliseconds = [&](std::string_view key) {
@@ -56,6 +76,7 @@
         value.revocation_limit = revocation;
         value.propagation_limit = std::min(value.propagation_limit, key_propagation(revocation));
     }
+    value.usage = read_usage(reader);
     constexpr auto default_memory_mb =
         static_cast<std::int64_t>(entry_settings::default_memory_limit) / mebibyte;
     value.memory_limit =
--- a/src/net/call_client.cpp
+++ b/src/net/call_client.cpp
@@ -43,8 +43,8 @@
     }
 }
 
-auto call_client::encode(std::string_view method, std::string_view target,
-                         std::string_view body) const -> std::string
+auto call_client::encode(std::string_view method, std::string_view target, std::string_view body,
+                         const field_list& fields) const -> std::string
 {
     namespace http = boost::beast::http;
     auto message = http::request<http::string_body>{};
@@ -55,6 +55,9 @@
     if (!body.empty()) {
         message.set(http::field::content_type, "application/json");
     }
+    for (const auto& field : fields) {
+        message.set(field.name, field.value);
+    }
     message.body() = body;
     return impl::serialize_message(std::move(message));
 }
