--- a/include/knapweedchute/usage/usage_ledger.hpp
+++ b/include/knapweedchute/usage/usage_ledger.hpp
@@ -22,7 +22,7 @@
     usage_ledger(usage_source own, std::size_t max_rows);
 
     /// \brief Counts one run of the own source.
-    /// \returns Whether it is counted; false if the window is closed.
+    /// \returns Whether the window is open.
     auto add(usage_window window, std::string_view workspace) -> bool;
 
     /// \brief Joins what another source has counted.
@@ -55,8 +55,9 @@
     };
     using key = std::pair<usage_source, std::string>; ///< Source and workspace.
 
+    /// \returns The row, made if there was none; null if the window alone has all rows allowed.
     [[nodiscard]] auto row(usage_window window, const usage_source& source,
-                           std::string_view workspace) -> entry&;
+                           std::string_view workspace) -> entry*;
     auto drop_excess() -> void;
 
     usage_source own_;
--- a/src/usage/usage_ledger.cpp
+++ b/src/usage/usage_ledger.cpp
@@ -11,12 +11,17 @@
 }
 
 auto usage_ledger::row(usage_window window, const usage_source& source, std::string_view workspace)
-    -> entry&
+    -> entry*
 {
-    const auto [found, inserted] =
-        windows_[window].try_emplace({source, std::string{workspace}}, entry{});
+    auto& rows = windows_[window];
+    const auto [found, inserted] = rows.try_emplace({source, std::string{workspace}}, entry{});
+    if (inserted && rows.size() > max_rows_) {
+        rows.erase(found);
+        ++rows_dropped_;
+        return nullptr;
+    }
     rows_ += inserted ? 1 : 0;
-    return found->second;
+    return &found->second;
 }
 
 auto usage_ledger::add(usage_window window, std::string_view workspace) -> bool
@@ -24,10 +29,11 @@
     if (closed_ && window <= *closed_) {
         return false;
     }
-    auto& counted = row(window, own_, workspace);
-    ++counted.count;
-    counted.change = ++changes_;
-    drop_excess();
+    if (auto* const counted = row(window, own_, workspace)) {
+        ++counted->count;
+        counted->change = ++changes_;
+        drop_excess();
+    }
     return true;
 }
 
@@ -41,10 +47,11 @@
         if (stated.window > latest || (closed_ && stated.window <= *closed_)) {
             continue;
         }
-        auto& known = row(stated.window, statement.source, stated.workspace);
-        known.count = std::max(known.count, stated.count);
+        if (auto* const known = row(stated.window, statement.source, stated.workspace)) {
+            known->count = std::max(known->count, stated.count);
+            drop_excess();
+        }
     }
-    drop_excess();
 }
 
 auto usage_ledger::close_through(usage_window window) -> void
--- a/tests/process/operations_page.sh
+++ b/tests/process/operations_page.sh
@@ -11,7 +11,7 @@
         cut -d'"' -f2- | sed -E 's/^entry"\}\.(info|warning|failure)\( *"//; s/"$//' |
         while read -r sentence; do echo "$part: $sentence"; done
 }
-for file in "$root"/src/{entry,relay,feed,net,target,rollout}/*.cpp "$root"/platform/*.cpp \
+for file in "$root"/src/{entry,relay,feed,net,target,rollout,usage}/*.cpp "$root"/platform/*.cpp \
     "$root"/daemons/knapweedchute_entryd.cpp; do
     if grep -q 'logger{"' "$file"; then lines_of "$file"; fi
 done | sort -u >"$work/written"
