--- a/src/usage/usage_driver.cpp
+++ b/src/usage/usage_driver.cpp
@@ -14,6 +14,8 @@
 constexpr auto advance_interval = milliseconds{200};
 /// A killed instance loses what it counted since it last passed counts on.
 constexpr auto pass_on_interval = milliseconds{800};
+/// By then an instance knows the members of its fleet and the holder.
+constexpr auto join_time = seconds{3};
 constexpr auto peer_timeout = milliseconds{1'000};
 /// A report is sent only if the lease outlives its call.
 constexpr auto report_timeout = milliseconds{1'500};
@@ -61,7 +63,7 @@
 auto usage_driver::start(duty_store& store) -> void
 {
     store_ = &store;
-    advance();
+    timers_->at(timers_->now() + join_time, [this] { advance(); });
 }
 
 auto usage_driver::on_run(const target_run& run) -> void
