--- a/tests/soak/entry_process.cpp
+++ b/tests/soak/entry_process.cpp
@@ -5,7 +5,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -69,6 +71,14 @@
     return 0;
 }
 
+auto entry_process::open_descriptors() const -> std::size_t
+{
+    auto failure = std::error_code{};
+    const auto folder = "/proc/" + std::to_string(process_) + "/fd";
+    const auto entries = std::filesystem::directory_iterator{folder, failure};
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 auto entry_process::running() -> bool
 {
     auto status = 0;
--- a/tests/soak/entry_process.hpp
+++ b/tests/soak/entry_process.hpp
@@ -30,6 +30,9 @@
     /// \brief Largest resident size so far, in bytes; 0 if it does not run.
     [[nodiscard]] auto peak_memory_bytes() const -> std::size_t;
 
+    /// \brief Descriptors that it has open now; 0 if it does not run.
+    [[nodiscard]] auto open_descriptors() const -> std::size_t;
+
     /// \brief Exit code of the latest end by itself, or the negative of the signal that ended it.
     [[nodiscard]] auto exit_code() const noexcept -> int { return exit_code_; }
 
