Callers' memory, connections, body times and framing are bounded over all of them

Change: caller_account holds what each connection holds (input, promised and grown bodies, small answers, a fixed cost) within a quarter of memory_limit_mb; above it large requests that were sent to no target are refused with 503, then large ones in progress are closed, small ones last. A body has one time (its deadline, between the idle time-out and body_time_limit_ms). At most 256 pieces of a request are parsed in a turn. Framing beyond what one-byte chunks need, or a chunk's head or trailers beyond maxHeaderBytes, get 400. Above three quarters of the descriptors the longest waiting connection is closed for a new one. Metrics and one log line in 10 s by reason.

--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -87,6 +87,7 @@
     auto update_member_counts() -> void;
     auto record_loop_lag(time_point due) -> void;
     auto log_evictions() -> void;
+    auto log_callers_ended() -> void;
     auto log_proof() -> void;
     auto record_peer_configuration(const std::string& peer, std::uint64_t version) -> void;
     [[nodiscard]] auto configuration_version() const -> std::uint64_t;
@@ -106,6 +107,7 @@
     entry_interface interface_;
     counter_set counters_;
     memory_budget answer_memory_; ///< Outlives the loop, whose handlers hold reservations.
+    caller_guard caller_guard_;   ///< Outlives the loop, too.
     boost::asio::io_context loop_{1};
     asio_timer_queue timers_{loop_};
     cluster_view view_;
@@ -145,6 +147,8 @@
     std::uint64_t logged_evictions_ = 0;
     bool keys_accepted_ = false; ///< Whether keys were accepted at the last check for the log.
     time_point evictions_logged_at_;
+    std::uint64_t logged_callers_ended_ = 0;
+    time_point callers_ended_logged_at_;
     bool stopping_ = false;
     bool finishing_ = false; ///< Whether connections are no longer accepted.
 };
--- a/include/knapweedchute/entry/entry_settings.hpp
+++ b/include/knapweedchute/entry/entry_settings.hpp
@@ -47,6 +47,10 @@
     std::optional<usage_settings> usage;             ///< Reports of usage; empty: none are due.
     std::size_t memory_limit = default_memory_limit; ///< Memory of the process, in bytes.
 
+    double caller_memory_share = 0.25;    ///< Fraction of the memory that callers may fill.
+    std::size_t max_descriptors = 0;      ///< Descriptors of the process; 0: as the system says.
+    milliseconds body_time_limit{60'000}; ///< Maximum time for a whole body of a caller.
+
     static constexpr auto default_memory_limit = std::size_t{256} << 20U;
 };
 
--- a/include/knapweedchute/net/caller_listener.hpp
+++ b/include/knapweedchute/net/caller_listener.hpp
@@ -16,8 +16,10 @@
 {
 public:
     /// \param memory Budget of the answers being written; null: they are not counted.
+    /// \param guard  Bounds of all callers together; null: there are none.
     caller_listener(boost::asio::io_context& loop, request_handler& handler, timer_queue& timers,
-                    const header_names& names, memory_budget* memory = nullptr);
+                    const header_names& names, memory_budget* memory = nullptr,
+                    caller_guard* guard = nullptr);
     caller_listener(const caller_listener&) = delete;
     auto operator=(const caller_listener&) -> caller_listener& = delete;
 
@@ -44,12 +46,15 @@
     auto accept_pending() -> void;
     auto start_session(boost::asio::ip::tcp::socket socket) -> void;
     auto remove_ended_sessions() -> void;
+    /// \returns Whether a connection could be closed for a new one.
+    [[nodiscard]] auto make_room() -> bool;
 
     boost::asio::io_context* loop_;
     request_handler* handler_;
     timer_queue* timers_;
     const header_names* names_;
     memory_budget* memory_;
+    caller_guard* guard_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::vector<std::weak_ptr<caller_session>> sessions_;
     bool closing_ = false;
--- a/include/knapweedchute/net/caller_session.hpp
+++ b/include/knapweedchute/net/caller_session.hpp
@@ -2,6 +2,7 @@
 
 #include <knapweedchute/core/memory_budget.hpp>
 #include <knapweedchute/core/memory_reservation.hpp>
+#include <knapweedchute/net/caller_guard.hpp>
 #include <knapweedchute/net/impl/http_library.hpp>
 #include <knapweedchute/net/request_handler.hpp>
 #include <knapweedchute/relay/header_names.hpp>
@@ -26,8 +27,10 @@
 {
 public:
     /// \param memory Budget of the answers being written; null: they are not counted.
+    /// \param guard  Bounds of all callers together; null: there are none.
     caller_session(boost::asio::ip::tcp::socket socket, request_handler& handler,
-                   timer_queue& timers, const header_names& names, memory_budget* memory);
+                   timer_queue& timers, const header_names& names, memory_budget* memory,
+                   caller_guard* guard = nullptr);
     ~caller_session();
     caller_session(const caller_session&) = delete;
     auto operator=(const caller_session&) -> caller_session& = delete;
@@ -44,6 +47,10 @@
         return stage_ != stage::idle && stage_ != stage::closed;
     }
 
+    /// \brief Since when the session has waited for a complete request; empty while one is in
+    ///        progress or being answered, or if the connection is closed.
+    [[nodiscard]] auto waiting_since() const -> std::optional<time_point>;
+
     /// \brief Closes the connection at once.
     auto close() -> void;
 
@@ -67,7 +74,13 @@
 
     auto read() -> void;
     auto on_read(const boost::system::error_code& failure, std::size_t count) -> void;
+    auto parse_and_read() -> void;
     auto parse() -> void;
+    auto begin_body() -> void;
+    auto update_account() -> void;
+    auto give_up() -> void;
+    auto set_timer(duration wait) -> void;
+    [[nodiscard]] auto body_wait() const -> duration;
     auto parse_next() -> bool;
     auto on_parse_error(const boost::system::error_code& failure) -> void;
     auto on_request() -> void;
@@ -87,10 +100,18 @@
     const header_names* names_;
     caller_limits limits_;
     boost::beast::flat_buffer input_;
-    std::array<char, 8'192> chunk_{};
+    std::array<char, 2'048> chunk_{};
+    /// For bodies; a connection that waits for a request holds only the small one.
+    std::unique_ptr<std::array<char, 8'192>> body_chunk_;
     std::optional<parser> parser_;
     std::string output_;
     std::optional<memory_reservation> memory_; ///< The answer in `output_`.
+    caller_guard* guard_;
+    std::optional<caller_account::holding> holding_;
+    std::size_t request_bytes_ = 0;   ///< Body of the request in progress.
+    std::size_t body_wire_bytes_ = 0; ///< Bytes of the current body with its framing.
+    time_point body_ends_;
+    time_point idle_since_;
     std::uint64_t pending_request_ = 0;
     std::uint64_t serial_ = 0;
     timer_id timer_ = 0;
@@ -98,6 +119,7 @@
     bool closing_ = false;
     bool head_only_ = false;
     bool reading_ = false;
+    bool parse_posted_ = false; ///< Whether the rest of the input waits for its turn.
 };
 
 } // namespace knapweedchute
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -40,6 +40,9 @@
 /// Fraction of the process's memory for answers of targets, from their first byte until they are
 /// written to their callers.
 constexpr auto answer_memory_fraction = 0.25;
+/// Fraction of the process's descriptors for callers' connections; the others are for targets, the
+/// store, peers, operators and readiness.
+constexpr auto caller_descriptor_fraction = 0.75;
 constexpr auto eviction_log_interval = seconds{10};
 /// The recorded maximum lag of the event loop decays to about a third in this time.
 constexpr auto lag_decay_time = std::chrono::duration<double>(10.0);
@@ -68,6 +71,19 @@
     return limits;
 }
 
+auto caller_bounds_of(const entry_settings& values) -> caller_bounds
+{
+    auto descriptors = rlimit{};
+    getrlimit(RLIMIT_NOFILE, &descriptors);
+    const auto count = values.max_descriptors == 0
+                           ? descriptors.rlim_cur
+                           : std::min<rlim_t>(descriptors.rlim_cur, values.max_descriptors);
+    return {static_cast<std::size_t>(static_cast<double>(values.memory_limit) *
+                                     values.caller_memory_share),
+            static_cast<std::size_t>(static_cast<double>(count) * caller_descriptor_fraction),
+            values.body_time_limit};
+}
+
 /// The settings contain no secret, so the store address serves as deployment name and key: messages
 /// of deployments with another store are refused.
 auto make_peer_envelope(const entry_settings& values) -> envelope
@@ -83,8 +99,9 @@
       answer_memory_{static_cast<std::size_t>(static_cast<double>(values.memory_limit) *
                                               answer_memory_fraction),
                      counters_},
-      view_{incarnation}, peers_{loop_, timers_, make_self(values, incarnation), values.seeds,
-                                 make_peer_envelope(values)},
+      caller_guard_{caller_bounds_of(values)}, view_{incarnation},
+      peers_{loop_, timers_, make_self(values, incarnation), values.seeds,
+             make_peer_envelope(values)},
       rollout_driver_{timers_, view_.rollouts(), peers_}, extras_{values.extras},
       cold_limiter_{[this](const auto& target) { return cold_share(target); }},
       pool_{loop_, timers_, interface_.headers,
@@ -108,9 +125,9 @@
       directory_{{{interface_.addresses_path, [this](const auto&) { return answer_addresses(); }}}},
       admin_{{{"/metrics", [this](const auto&) { return answer_metrics(); }},
               {"/state", [this](const auto&) { return answer_state(); }}}},
-      caller_listener_{loop_, relay_, timers_, interface_.headers, &answer_memory_},
+      caller_listener_{loop_, relay_, timers_, interface_.headers, &answer_memory_, &caller_guard_},
       readiness_listener_{loop_, readiness_, timers_, interface_.headers},
-      directory_listener_{loop_, directory_, timers_, interface_.headers},
+      directory_listener_{loop_, directory_, timers_, interface_.headers, nullptr, &caller_guard_},
       admin_listener_{loop_, admin_, timers_, interface_.headers},
       feed_handler_{timers_, make_peer_envelope(values)},
       peer_pages_{
@@ -204,6 +221,9 @@
     compare("revocation_limit", settings_.revocation_limit, values.revocation_limit);
     compare("usage", settings_.usage, values.usage);
     compare("memory_limit", settings_.memory_limit, values.memory_limit);
+    compare("caller_memory_percent", settings_.caller_memory_share, values.caller_memory_share);
+    compare("max_descriptors", settings_.max_descriptors, values.max_descriptors);
+    compare("body_time_limit_ms", settings_.body_time_limit, values.body_time_limit);
     compare("processor_share", settings_.processor_permil, values.processor_permil);
     extras_.set_limits(values.extras);
     settings_.extras = values.extras;
@@ -271,6 +291,7 @@
     cold_limiter_.remove_before(now - cold_state_retention);
     update_member_counts();
     log_evictions();
+    log_callers_ended();
     log_proof();
     if (!stopping_ && view_.ready() && peers_.self().state == member_state::joining) {
         peers_.announce(member_state::alive);
@@ -320,6 +341,27 @@
     evictions_logged_at_ = now;
 }
 
+auto entry_instance::log_callers_ended() -> void
+{
+    const auto ended = caller_guard_.ended(caller_end::last);
+    const auto now = timers_.now();
+    if (ended == logged_callers_ended_ || now - callers_ended_logged_at_ < eviction_log_interval) {
+        return;
+    }
+    const auto total = [&](caller_end why) { return std::to_string(caller_guard_.ended(why)); };
+    log_line.warning("Callers ended.",
+                     {{"count", std::to_string(ended - logged_callers_ended_)},
+                      {"memory", total(caller_end::memory)},
+                      {"framing", total(caller_end::framing)},
+                      {"time", total(caller_end::time)},
+                      {"room", total(caller_end::room)},
+                      {"refused", total(caller_end::refused)},
+                      {"held_bytes", std::to_string(caller_guard_.account().held())},
+                      {"limit_bytes", std::to_string(caller_guard_.account().limit())}});
+    logged_callers_ended_ = ended;
+    callers_ended_logged_at_ = now;
+}
+
 auto entry_instance::update_member_counts() -> void
 {
     const auto now = timers_.now();
--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -77,6 +77,7 @@
         gauge_text("answer_memory_peak_bytes", "", static_cast<double>(answer_memory_.highest()));
     text +=
         gauge_text("answer_memory_limit_bytes", "", static_cast<double>(answer_memory_.limit()));
+    text += caller_guard_.metrics();
     text += gauge_text("log_lines_lost", "", static_cast<double>(lost_log_lines()));
     return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)};
 }
--- a/src/entry/entry_settings_reader.cpp
+++ b/src/entry/entry_settings_reader.cpp
@@ -16,6 +16,10 @@
 constexpr auto mebibyte = std::int64_t{1'048'576};
 /// Less leaves no room for answers beside what the process always holds.
 constexpr auto min_memory_mb = std::int64_t{64};
+constexpr auto min_caller_percent = std::int64_t{5};
+constexpr auto max_caller_percent = std::int64_t{50};
+constexpr auto default_caller_percent = std::int64_t{25};
+constexpr auto max_descriptors = std::int64_t{16'777'216};
 constexpr auto max_memory_mb = std::int64_t{1'048'576};
 
 /// Reports of usage are due only if their address is set.
@@ -82,6 +86,16 @@
     value.memory_limit =
         static_cast<std::size_t>(mebibyte * reader.integer_or("memory_limit_mb", min_memory_mb,
                                                               max_memory_mb, default_memory_mb));
+    constexpr auto percent = 100.0;
+    value.caller_memory_share =
+        static_cast<double>(reader.integer_or("caller_memory_percent", min_caller_percent,
+                                              max_caller_percent, default_caller_percent)) /
+        percent;
+    value.max_descriptors =
+        static_cast<std::size_t>(reader.integer_or("max_descriptors", 0, max_descriptors, 0));
+    value.body_time_limit =
+        milliseconds{reader.integer_or("body_time_limit_ms", min_limit_ms, max_period_ms,
+                                       entry_settings{}.body_time_limit.count())};
     value.extras.window = read_seconds("extra_window_s");
     value.extras.ratio = reader.number("extra_ratio", 0.0, 1.0);
     value.processor_permil =
--- a/src/net/caller_listener.cpp
+++ b/src/net/caller_listener.cpp
@@ -2,6 +2,7 @@
 #include <knapweedchute/net/caller_listener.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace knapweedchute {
 namespace {
@@ -11,6 +12,8 @@
 constexpr auto backlog = 512;
 /// Delay after a failed accept, which usually means that no file descriptors are left.
 constexpr auto accept_pause = milliseconds{50};
+/// One in so many waiting connections is closed at a time: finding them costs a pass over all.
+constexpr auto closed_fraction = std::size_t{64};
 constexpr auto cleanup_interval = std::size_t{256};
 const auto log_line = logger{"listener"};
 
@@ -18,9 +21,9 @@
 
 caller_listener::caller_listener(boost::asio::io_context& loop, request_handler& handler,
                                  timer_queue& timers, const header_names& names,
-                                 memory_budget* memory)
+                                 memory_budget* memory, caller_guard* guard)
     : loop_{&loop}, handler_{&handler}, timers_{&timers}, names_{&names}, memory_{memory},
-      acceptor_{loop}
+      guard_{guard}, acceptor_{loop}
 {
 }
 
@@ -72,8 +75,12 @@
 
 auto caller_listener::start_session(tcp::socket socket) -> void
 {
-    const auto session =
-        std::make_shared<caller_session>(std::move(socket), *handler_, *timers_, *names_, memory_);
+    if (guard_ != nullptr && guard_->full() && !make_room()) {
+        guard_->count(caller_end::refused);
+        return;
+    }
+    const auto session = std::make_shared<caller_session>(std::move(socket), *handler_, *timers_,
+                                                          *names_, memory_, guard_);
     sessions_.push_back(session);
     remove_ended_sessions();
     if (closing_) {
@@ -101,6 +108,32 @@
     }
 }
 
+auto caller_listener::make_room() -> bool
+{
+    using waiting = std::pair<time_point, std::shared_ptr<caller_session>>;
+    auto candidates = std::vector<waiting>{};
+    std::erase_if(sessions_, [](const auto& session) { return session.expired(); });
+    for (const auto& session : sessions_) {
+        const auto alive = session.lock();
+        if (const auto since = alive ? alive->waiting_since() : std::nullopt) {
+            candidates.emplace_back(*since, alive);
+        }
+    }
+    if (candidates.empty()) {
+        return false;
+    }
+    const auto count = std::max<std::size_t>(candidates.size() / closed_fraction, 1);
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
+    std::nth_element(
+        candidates.begin(), end - 1, candidates.end(),
+        [](const waiting& left, const waiting& right) { return left.first < right.first; });
+    for (auto oldest = candidates.begin(); oldest != end; ++oldest) {
+        guard_->count(caller_end::room);
+        oldest->second->close();
+    }
+    return true;
+}
+
 auto caller_listener::close_after_answers() -> void
 {
     closing_ = true;
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -20,18 +21,44 @@
 /// Time for the caller to close after the last answer: closing with unread input would send a
 /// reset, which can discard the answer.
 constexpr auto drain_timeout = milliseconds{1'000};
+/// Pieces of a request that are parsed before others get their turn.
+constexpr auto max_steps_per_turn = 256;
+/// A session, its socket and its timer, without its buffers.
+constexpr auto session_bytes = std::size_t{4'096};
+constexpr auto memory_retry_after = seconds{1};
+
+auto read_deadline(std::string_view text) -> std::optional<milliseconds>
+{
+    auto deadline_ms = std::int64_t{0};
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), deadline_ms);
+    if (read.ec != std::errc{} || deadline_ms < 0 || text.empty()) {
+        return std::nullopt;
+    }
+    return milliseconds{std::min<std::int64_t>(deadline_ms, 3'600'000)};
+}
 
 } // namespace
 
 caller_session::caller_session(boost::asio::ip::tcp::socket socket, request_handler& handler,
                                timer_queue& timers, const header_names& names,
-                               memory_budget* memory)
+                               memory_budget* memory, caller_guard* guard)
     : socket_{std::move(socket)}, handler_{&handler}, timers_{&timers}, names_{&names},
-      limits_{handler.limits()}
+      limits_{handler.limits()}, guard_{guard}
 {
     if (memory != nullptr) {
         memory_.emplace(*memory, [this] { on_eviction(); });
     }
+    if (guard_ != nullptr) {
+        guard_->connection_opened();
+        holding_.emplace(guard_->account(), [this] {
+            guard_->count(caller_end::memory);
+            boost::asio::post(socket_.get_executor(), [weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->give_up();
+                }
+            });
+        });
+    }
 }
 
 caller_session::~caller_session()
@@ -45,9 +72,17 @@
     socket_.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
     reset_parser();
     enter_stage(stage::idle);
+    update_account();
     read();
 }
 
+auto caller_session::waiting_since() const -> std::optional<time_point>
+{
+    const auto waits = stage_ == stage::idle || stage_ == stage::header || stage_ == stage::body ||
+                       stage_ == stage::draining;
+    return waits ? std::optional{idle_since_} : std::nullopt;
+}
+
 auto caller_session::close_if_idle() -> void
 {
     if (stage_ == stage::idle && input_.size() == 0) {
@@ -67,11 +102,19 @@
 
 auto caller_session::read() -> void
 {
-    if (reading_ || stage_ == stage::closed || input_.size() > max_read_ahead_bytes) {
+    if (reading_ || parse_posted_ || stage_ == stage::closed ||
+        input_.size() > max_read_ahead_bytes) {
         return;
     }
     reading_ = true;
-    socket_.async_read_some(boost::asio::buffer(chunk_),
+    if (stage_ != stage::body) {
+        body_chunk_.reset();
+    } else if (!body_chunk_) {
+        body_chunk_ = std::make_unique<std::array<char, 8'192>>();
+    }
+    const auto space =
+        body_chunk_ ? boost::asio::buffer(*body_chunk_) : boost::asio::buffer(chunk_);
+    socket_.async_read_some(space,
                             [self = shared_from_this()](const auto& failure, std::size_t count) {
                                 self->reading_ = false;
                                 self->on_read(failure, count);
@@ -92,16 +135,35 @@
     }
     if (stage_ != stage::draining) {
         const auto space = input_.prepare(count);
-        boost::asio::buffer_copy(space, boost::asio::buffer(chunk_, count));
+        const auto* const bytes = body_chunk_ ? body_chunk_->data() : chunk_.data();
+        boost::asio::buffer_copy(space, boost::asio::buffer(bytes, count));
         input_.commit(count);
-        parse();
+        if (stage_ == stage::body) {
+            set_timer(body_wait());
+        }
     }
+    parse_and_read();
+}
+
+auto caller_session::parse_and_read() -> void
+{
+    parse();
+    update_account();
     read();
 }
 
 auto caller_session::parse() -> void
 {
-    while (input_.size() > 0 && parse_next()) {
+    for (auto steps = 0; input_.size() > 0 && steps < max_steps_per_turn; ++steps) {
+        if (!parse_next()) {
+            return;
+        }
+    }
+    if (input_.size() > 0 && !std::exchange(parse_posted_, true)) {
+        boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            self->parse_posted_ = false;
+            self->parse_and_read();
+        });
     }
 }
 
@@ -110,15 +172,31 @@
     if (stage_ != stage::idle && stage_ != stage::header && stage_ != stage::body) {
         return false;
     }
+    if (holding_ && holding_->ended()) {
+        return false;
+    }
     if (stage_ == stage::idle) {
         enter_stage(stage::header);
     }
     auto failure = boost::system::error_code{};
-    input_.consume(parser_->put(input_.data(), failure));
+    const auto consumed = parser_->put(input_.data(), failure);
+    input_.consume(consumed);
     if (failure && failure != http::error::need_more) {
         on_parse_error(failure);
         return false;
     }
+    if (stage_ == stage::body) {
+        body_wire_bytes_ += consumed;
+        const auto framing_bytes = body_wire_bytes_ - parser_->get().body().size();
+        const auto unfinished_bytes = failure ? input_.size() : std::size_t{0};
+        if (guard_ != nullptr &&
+            (framing_too_dear(framing_bytes, limits_) || unfinished_bytes > limits_.header_bytes)) {
+            constexpr auto bad_request = 400U;
+            guard_->count(caller_end::framing);
+            respond(error_answer(bad_request, "chunks cost far more than they carry"), true);
+            return false;
+        }
+    }
     if (parser_->is_done()) {
         on_request();
         return true;
@@ -132,11 +210,58 @@
             boost::asio::async_write(socket_, boost::asio::buffer(continue_response),
                                      [self = shared_from_this()](const auto&, std::size_t) {});
         }
-        enter_stage(stage::body);
+        if (stage_ == stage::header) {
+            begin_body();
+        }
     }
     return !failure;
 }
 
+auto caller_session::begin_body() -> void
+{
+    const auto stated = parser_->get()[names_->deadline];
+    const auto longest = guard_ != nullptr ? guard_->bounds().body_time : caller_bounds{}.body_time;
+    body_ends_ =
+        timers_->now() + body_time(read_deadline({stated.data(), stated.size()}), limits_, longest);
+    body_wire_bytes_ = 0;
+    enter_stage(stage::body);
+}
+
+auto caller_session::body_wait() const -> duration
+{
+    return std::min<duration>(limits_.idle_timeout, body_ends_ - timers_->now());
+}
+
+auto caller_session::update_account() -> void
+{
+    if (!holding_ || stage_ == stage::closed) {
+        return;
+    }
+    auto bytes = session_bytes + input_.capacity() + request_bytes_;
+    bytes += body_chunk_ ? body_chunk_->size() : 0;
+    if (stage_ == stage::body) {
+        const auto promised = parser_->content_length();
+        bytes += std::max<std::size_t>(promised ? static_cast<std::size_t>(*promised) : 0,
+                                       parser_->get().body().capacity());
+    }
+    // Larger answers are in the account of answers.
+    bytes += output_.capacity() < memory_reservation::min_reserved ? output_.capacity() : 0;
+    holding_->set(bytes, stage_ == stage::busy || stage_ == stage::writing);
+}
+
+auto caller_session::give_up() -> void
+{
+    const auto begun = stage_ == stage::idle && input_.size() > 0;
+    if (begun || stage_ == stage::header || stage_ == stage::body) {
+        respond(not_run_answer("memory for requests is used up", memory_retry_after), true);
+        return;
+    }
+    if (stage_ == stage::busy && pending_request_ != 0) {
+        handler_->cancel(std::exchange(pending_request_, 0));
+    }
+    close();
+}
+
 auto caller_session::on_parse_error(const boost::system::error_code& failure) -> void
 {
     constexpr auto bad_request = 400U;
@@ -162,6 +287,7 @@
         return;
     }
     auto request = to_request();
+    request_bytes_ = request.body.capacity();
     enter_stage(stage::busy);
     const auto serial = ++serial_;
     const auto weak = weak_from_this();
@@ -187,11 +313,8 @@
     request.host = std::string{message[http::field::host]};
     request.id = std::string{message[names_->request_id]};
     const auto deadline_text = message[names_->deadline];
-    auto deadline_ms = std::int64_t{0};
-    const auto read = std::from_chars(deadline_text.data(),
-                                      deadline_text.data() + deadline_text.size(), deadline_ms);
-    if (read.ec == std::errc{} && deadline_ms >= 0 && !deadline_text.empty()) {
-        request.deadline = milliseconds{std::min<std::int64_t>(deadline_ms, 3'600'000)};
+    if (const auto deadline = read_deadline({deadline_text.data(), deadline_text.size()})) {
+        request.deadline = *deadline;
     }
     message.erase(http::field::host);
     message.erase(names_->deadline);
@@ -208,7 +331,9 @@
     if (memory_) {
         memory_->resize(output_.capacity());
     }
+    request_bytes_ = 0;
     enter_stage(stage::writing);
+    update_account();
     boost::asio::async_write(socket_, boost::asio::buffer(output_),
                              [self = shared_from_this(), close](const auto& failure, std::size_t) {
                                  if (failure) {
@@ -226,10 +351,12 @@
         start_draining();
         return;
     }
+    if (input_.size() == 0 && input_.capacity() >= memory_reservation::min_reserved) {
+        input_ = boost::beast::flat_buffer{};
+    }
     reset_parser();
     enter_stage(stage::idle);
-    parse();
-    read();
+    parse_and_read();
 }
 
 auto caller_session::release_output() -> void
@@ -264,12 +391,24 @@
     if (next == stage::busy || next == stage::closed) {
         return;
     }
+    if (next == stage::idle) {
+        idle_since_ = timers_->now();
+    }
+    if (next == stage::body) {
+        wait = body_wait();
+    }
     if (next == stage::header) {
         wait = limits_.header_timeout;
     }
     if (next == stage::draining) {
         wait = drain_timeout;
     }
+    set_timer(wait);
+}
+
+auto caller_session::set_timer(duration wait) -> void
+{
+    timers_->cancel(std::exchange(timer_, 0));
     timer_ = timers_->at(timers_->now() + wait, [weak = weak_from_this()] {
         if (const auto alive = weak.lock()) {
             alive->timer_ = 0;
@@ -281,6 +420,9 @@
 auto caller_session::on_timeout() -> void
 {
     constexpr auto request_timeout = 408U;
+    if (stage_ == stage::body && guard_ != nullptr && timers_->now() >= body_ends_) {
+        guard_->count(caller_end::time);
+    }
     if (stage_ == stage::header || stage_ == stage::body) {
         respond(error_answer(request_timeout, "request came too slowly"), true);
         return;
@@ -292,8 +434,10 @@
 {
     auto ignored = boost::system::error_code{};
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    input_.consume(input_.size());
+    input_ = boost::beast::flat_buffer{};
+    reset_parser();
     enter_stage(stage::draining);
+    update_account();
     read();
 }
 
@@ -303,6 +447,10 @@
         return;
     }
     enter_stage(stage::closed);
+    if (guard_ != nullptr) {
+        guard_->connection_closed();
+        holding_->set(0, false);
+    }
     if (memory_) {
         memory_->resize(0);
     }
