Leaving the zone: a share of first sends, by load and price

So far a target in another zone had a fixed extra cost, whatever the load of the own zone.

zone_spill decides without I/O which share of the first sends of a group of services goes to other zones: latency and rejections of both as fractions of the route's goal, hysteresis, a price of bytes, steps at random times, a bound by the other zone's load. The setting zone_byte_price switches it on; its default 0 leaves selections as they were, which a test compares.

--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -15,6 +15,7 @@
 #include <knapweedchute/route/weighted_split.hpp>
 #include <knapweedchute/workspace/request_authorizer.hpp>
 #include <knapweedchute/workspace/run_observer.hpp>
+#include <knapweedchute/zoning/zone_spill.hpp>
 
 #include <cstdint>
 #include <map>
@@ -88,7 +89,11 @@
     auto remove_unknown() -> void { selector_.remove_unused(timers_->now()); }
 
     /// \brief Removes the admission state of services that were not used since `oldest`.
-    auto remove_unused_groups(time_point oldest) -> void { admission_.remove_unused(oldest); }
+    auto remove_unused_groups(time_point oldest) -> void
+    {
+        admission_.remove_unused(oldest);
+        zones_.remove_unused(oldest);
+    }
 
     /// \brief Sets the number of instances that share the targets, at least 1.
     auto set_instance_count(std::size_t count) noexcept -> void
@@ -102,6 +107,9 @@
     /// \brief Latencies and outcomes of requests.
     [[nodiscard]] auto metrics() const noexcept -> const relay_metrics& { return metrics_; }
 
+    /// \brief Largest share of first sends of a group of services that may leave the zone, 0 to 1.
+    [[nodiscard]] auto leaving_share() const -> double { return zones_.largest_share(); }
+
     /// \brief Number of requests in progress.
     [[nodiscard]] auto in_progress() const noexcept -> std::size_t { return calls_.size(); }
 
@@ -125,6 +133,10 @@
     auto dispatch_part(const shared_call& call, std::size_t index) -> void;
     /// Whether the key of a request still allows to send its parts; records why not.
     [[nodiscard]] auto key_allows_send(call_state& call) const -> bool;
+    [[nodiscard]] auto zone_preference_of(const call_state& call, const part_state& part)
+        -> zone_preference;
+    auto record_zone_load(const call_state& call, const target_record& target, duration elapsed,
+                          const exchange_result& result) -> void;
     auto send_part(const shared_call& call, std::size_t index, const selection& selected,
                    impl::trace_step step) -> void;
     auto record_step(call_state& call, std::size_t index, impl::trace_step step,
@@ -176,6 +188,7 @@
     const request_authorizer* authorizer_;
     run_observer* runs_;
     target_selector selector_;
+    zone_spill zones_;
     route_latency route_latency_;
     weighted_split split_;
     service_capacity capacity_;
--- a/include/knapweedchute/relay/relay_metrics.hpp
+++ b/include/knapweedchute/relay/relay_metrics.hpp
@@ -3,6 +3,7 @@
 #include <knapweedchute/core/latency_histogram.hpp>
 #include <knapweedchute/relay/impl/relay_call.hpp>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -22,6 +23,13 @@
     /// \brief Records the duration of one exchange with a target.
     auto on_exchange(exchange_status status, duration elapsed) -> void;
 
+    /// \brief Records that a part was sent.
+    /// \param own_zone Whether to a target in the availability zone of this instance.
+    auto on_part_sent(bool own_zone) noexcept -> void
+    {
+        (own_zone ? parts_to_own_zone_ : parts_to_other_zones_) += 1;
+    }
+
     /// \brief Records the time from reading a request to sending its first part.
     auto on_first_send(duration waited) -> void { waited_.add(waited); }
 
@@ -35,6 +43,8 @@
     std::map<std::pair<std::string, std::string>, latency_histogram> requests_;
     std::map<std::string, latency_histogram> exchanges_;
     latency_histogram waited_;
+    std::uint64_t parts_to_own_zone_ = 0;
+    std::uint64_t parts_to_other_zones_ = 0;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/relay_policy.hpp
+++ b/include/knapweedchute/relay/relay_policy.hpp
@@ -3,6 +3,7 @@
 #include <knapweedchute/core/time.hpp>
 
 #include <cstddef>
+#include <cstdint>
 
 namespace knapweedchute {
 
@@ -24,6 +25,15 @@
     int max_straggler_checks = 3;
     /// Cost added to a target in another availability zone, as a multiple of typical latency.
     double zone_cost = 0.4;
+    /// Latency that a KiB from another availability zone is worth, in ms; 0: whether first sends
+    /// leave the own zone depends on the cost alone.
+    double zone_byte_price = 0.0;
+    /// Slowness and failures of a target, as a multiple of typical latency, from which a send does
+    /// not stay in the own zone for its sake.
+    double dark_cost = 4.0;
+    /// Divisor of a target's slots that gives the requests in progress up to which an instance of
+    /// another availability zone sends to it to leave its own; at least 1.
+    std::int64_t helper_slots_divisor = 4;
     /// Random variation of costs, so that instances with equal state select different targets.
     double cost_spread = 0.1;
     /// Times that a part that all its targets have rejected is sent anew, after a short delay.
--- a/include/knapweedchute/relay/replica_load.hpp
+++ b/include/knapweedchute/relay/replica_load.hpp
@@ -26,10 +26,15 @@
     /// \brief Returns the expected latency of a request as a multiple of the typical latency.
     [[nodiscard]] auto cost(time_point now) const -> double;
 
+    /// \brief Returns the expected latency without what requests in progress add to it.
+    [[nodiscard]] auto trouble(time_point now) const -> double;
+
     /// \brief Number of requests in progress.
     [[nodiscard]] auto in_flight() const noexcept -> std::size_t { return open_.size(); }
 
 private:
+    [[nodiscard]] auto pending(time_point now) const -> double;
+    [[nodiscard]] auto failure_factor(time_point now) const -> double;
     [[nodiscard]] auto decayed(double value, double baseline, time_point now) const -> double;
 
     std::multimap<time_point, duration> open_;
--- a/include/knapweedchute/relay/request_log.hpp
+++ b/include/knapweedchute/relay/request_log.hpp
@@ -3,6 +3,7 @@
 #include <knapweedchute/core/counter_set.hpp>
 #include <knapweedchute/core/line_budget.hpp>
 #include <knapweedchute/relay/impl/relay_call.hpp>
+#include <knapweedchute/zoning/zone_spill.hpp>
 
 #include <cstdint>
 #include <string>
@@ -42,6 +43,9 @@
     auto on_reject(const impl::relay_call& call, std::string_view reason,
                    const admission_verdict& verdict, duration retry_after, time_point now) -> void;
 
+    /// \brief Logs that leaving the own availability zone begins or ends, if the limit allows.
+    auto on_zone_change(const zone_change& change, time_point now) -> void;
+
     /// \brief Returns why a request that ended at `now` is logged.
     [[nodiscard]] static auto reason_of(const impl::relay_call& call, unsigned status,
                                         time_point now) -> log_reason;
@@ -52,9 +56,12 @@
 
     counter_set* counters_;
     line_budget budget_{lines_per_second, burst_lines};
+    line_budget zone_budget_{zone_lines_per_second, burst_zone_lines};
     std::uint64_t held_back_ = 0;
     time_point held_back_logged_at_;
 
+    static constexpr auto zone_lines_per_second = 0.1;
+    static constexpr auto burst_zone_lines = 8.0;
     /// Sustained rate; 20 lines per second raised the cost of decisions by up to 6.5 percent.
     static constexpr auto lines_per_second = 10.0;
     /// Lines at once; large, because the first seconds of a fault are the most useful to read.
--- a/include/knapweedchute/relay/target_selector.hpp
+++ b/include/knapweedchute/relay/target_selector.hpp
@@ -7,6 +7,7 @@
 #include <knapweedchute/relay/replica_load.hpp>
 #include <knapweedchute/relay/target_backoff.hpp>
 #include <knapweedchute/target/target_registry.hpp>
+#include <knapweedchute/zoning/zone_spill.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -43,10 +44,11 @@
     /// \brief Selects the target for the next send of a request.
     /// \detail While a version is on trial, its targets get their share of first sends; retries
     ///         and hedges go to targets of other versions.
-    /// \param tried Ids of targets to which the request was already sent.
+    /// \param tried      Ids of targets to which the request was already sent.
+    /// \param preference Which availability zone comes first; if it has no target, all count.
     [[nodiscard]] auto select_target(const std::string& service,
-                                     const std::vector<std::string>& tried, time_point now)
-        -> selection;
+                                     const std::vector<std::string>& tried, time_point now,
+                                     const zone_preference& preference = {}) -> selection;
 
     /// \brief Returns the load of a target; creates it if needed.
     [[nodiscard]] auto load(const std::string& target_id) -> replica_load&;
@@ -69,8 +71,10 @@
     [[nodiscard]] auto choose_versions(const version_rule* rule, const std::string& service,
                                        bool first_send) -> version_filter;
     [[nodiscard]] auto find_best(const std::string& service, const std::vector<std::string>& tried,
-                                 const version_rule* rule, version_filter filter, time_point now)
-        -> selection;
+                                 const version_rule* rule, version_filter filter, time_point now,
+                                 const zone_preference& preference) -> selection;
+    [[nodiscard]] auto is_preferred(const target_record& target, const zone_preference& preference,
+                                    time_point now) -> bool;
     [[nodiscard]] auto cost(const target_record& target, time_point now) -> double;
 
     relay_policy policy_;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -84,6 +84,13 @@
             values.body_time_limit};
 }
 
+auto relay_policy_of(const entry_settings& values) -> relay_policy
+{
+    auto policy = relay_policy{};
+    policy.zone_byte_price = values.zone_byte_price;
+    return policy;
+}
+
 /// The settings contain no secret, so the store address serves as deployment name and key: messages
 /// of deployments with another store are refused.
 auto make_peer_envelope(const entry_settings& values) -> envelope
@@ -114,7 +121,7 @@
                                                            counters_, make_peer_envelope(values),
                                                            interface_.encode_report)
                           : nullptr},
-      coordinator_{{},
+      coordinator_{relay_policy_of(values),
                    interface_.headers,
                    values.availability_zone,
                    {view_.targets(), pool_, timers_, extras_, cold_limiter_, view_.versions(),
@@ -224,6 +231,7 @@
     compare("caller_memory_percent", settings_.caller_memory_share, values.caller_memory_share);
     compare("max_descriptors", settings_.max_descriptors, values.max_descriptors);
     compare("body_time_limit_ms", settings_.body_time_limit, values.body_time_limit);
+    compare("zone_byte_price", settings_.zone_byte_price, values.zone_byte_price);
     compare("processor_share", settings_.processor_permil, values.processor_permil);
     extras_.set_limits(values.extras);
     settings_.extras = values.extras;
--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -69,6 +69,7 @@
     text += gauge_text("instances", "", static_cast<double>(instance_count_));
     text += gauge_text("connections", "", static_cast<double>(pool_.open_connections()));
     text += gauge_text("requests_in_progress", "", static_cast<double>(coordinator_.in_progress()));
+    text += gauge_text("zone_leaving_share", "", coordinator_.leaving_share());
     text += gauge_text("requests_waiting", "", static_cast<double>(coordinator_.waiting()));
     text += gauge_text("loop_lag_seconds", "", seconds_of(recent_max_lag_));
     text += gauge_text("memory_peak_bytes", "", static_cast<double>(usage.ru_maxrss) * 1024.0);
--- a/src/entry/entry_settings_reader.cpp
+++ b/src/entry/entry_settings_reader.cpp
@@ -13,6 +13,7 @@
 constexpr auto max_cores = 1'024.0;
 constexpr auto permil = 1'000.0;
 constexpr auto max_extra_allowance = 1e6;
+constexpr auto max_byte_price = 1e6;
 constexpr auto mebibyte = std::int64_t{1'048'576};
 /// Less leaves no room for answers beside what the process always holds.
 constexpr auto min_memory_mb = std::int64_t{64};
@@ -96,6 +97,7 @@
     value.body_time_limit =
         milliseconds{reader.integer_or("body_time_limit_ms", min_limit_ms, max_period_ms,
                                        entry_settings{}.body_time_limit.count())};
+    value.zone_byte_price = reader.number_or("zone_byte_price", 0.0, max_byte_price, 0.0);
     value.extras.window = read_seconds("extra_window_s");
     value.extras.ratio = reader.number("extra_ratio", 0.0, 1.0);
     value.processor_permil =
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -57,6 +57,7 @@
       authorizer_{dependencies.authorizer}, runs_{dependencies.runs},
       selector_{policy, own_zone, dependencies.registry, dependencies.port, dependencies.cold,
                 seed},
+      zones_{zone_spill_policy{policy.zone_byte_price}, own_zone, seed},
       capacity_{dependencies.registry}, admission_{seed}, log_{dependencies.counters},
       created_at_{dependencies.timers.now()}
 {
@@ -100,7 +101,8 @@
         part.failed = part.open_exchanges.empty();
         return;
     }
-    const auto selected = selector_.select_target(part.service, part.tried, now);
+    const auto selected =
+        selector_.select_target(part.service, part.tried, now, zone_preference_of(*call, part));
     if (selected.target) {
         const auto first = part.tried.empty() && part.rounds == 0;
         send_part(call, index, selected, first ? trace_step::send : trace_step::retry);
@@ -125,6 +127,20 @@
     part.failed = true;
 }
 
+auto relay_coordinator::zone_preference_of(const call_state& call, const part_state& part)
+    -> zone_preference
+{
+    if (!part.tried.empty() || part.rounds > 0) {
+        return {};
+    }
+    const auto now = timers_->now();
+    auto preference = zones_.choose(call.admission.group, now);
+    if (const auto change = zones_.take_change()) {
+        log_.on_zone_change(*change, now);
+    }
+    return preference;
+}
+
 auto relay_coordinator::key_allows_send(call_state& call) const -> bool
 {
     if (!call.key) {
@@ -169,6 +185,7 @@
     selector_.load(selected.target->id).on_send(now, route_latency_.typical(*call->matched_route));
     cold_->on_send(*selected.target, now);
     counters_->add(counter::parts_sent);
+    metrics_.on_part_sent(zones_.is_own(selected.target->availability_zone));
     // `send` returns the id after the listener is created; the listener runs later.
     auto id = std::make_shared<exchange_id>(0);
     *id = port_->send(std::move(order), [this, call, index, now, id,
@@ -198,6 +215,9 @@
     selector_.load(target.id).on_end(sent_at, now, typical_latency, failed);
     if (!result.never_sent) {
         metrics_.on_exchange(result.status, elapsed);
+        if (useful || cancelled || result.status == exchange_status::not_run) {
+            record_zone_load(call, target, elapsed, result);
+        }
         // The version is not responsible for the time to connect or for a refusal for lack of
         // capacity. Of a cancelled exchange only the duration is evidence.
         const auto slow = result.reused_connection && elapsed > typical_latency * slow_multiple;
@@ -209,6 +229,20 @@
     }
 }
 
+auto relay_coordinator::record_zone_load(const call_state& call, const target_record& target,
+                                         duration elapsed, const exchange_result& result) -> void
+{
+    const auto goal = duration{call.matched_route->latency_goal};
+    // A cancelled exchange would have taken longer; a short one says nothing.
+    if (result.status == exchange_status::unknown && elapsed * 2 < goal) {
+        return;
+    }
+    zones_.observe(call.admission.group,
+                   {target.availability_zone, elapsed, goal, result.answer.body.size(),
+                    result.status == exchange_status::not_run},
+                   timers_->now());
+}
+
 auto relay_coordinator::on_exchange_end(const shared_call& call, std::size_t index,
                                         time_point sent_at, exchange_id exchange,
                                         const std::shared_ptr<const target_record>& target,
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -77,7 +77,12 @@
         text += times.prometheus_text("knapweedchute_exchange_seconds", "end=\"" + status + "\"");
     }
     text += "# TYPE knapweedchute_wait_seconds histogram\n";
-    return text + waited_.prometheus_text("knapweedchute_wait_seconds", "");
+    text += waited_.prometheus_text("knapweedchute_wait_seconds", "");
+    text += "# TYPE knapweedchute_zone_parts_total counter\n";
+    text += "knapweedchute_zone_parts_total{zone=\"own\"} " + std::to_string(parts_to_own_zone_) +
+            "\nknapweedchute_zone_parts_total{zone=\"other\"} " +
+            std::to_string(parts_to_other_zones_) + "\n";
+    return text;
 }
 
 } // namespace knapweedchute
--- a/src/relay/replica_load.cpp
+++ b/src/relay/replica_load.cpp
@@ -51,13 +51,25 @@
 
 auto replica_load::cost(time_point now) const -> double
 {
-    const auto slowness = decayed(slowness_, 1.0, now);
-    const auto failures = decayed(failures_, 0.0, now);
+    return pending(now) * (1.0 + queue_weight * static_cast<double>(open_.size())) *
+           failure_factor(now);
+}
+
+auto replica_load::trouble(time_point now) const -> double
+{
+    return pending(now) * failure_factor(now);
+}
+
+auto replica_load::pending(time_point now) const -> double
+{
     const auto oldest =
         open_.empty() ? 0.0 : ratio(now - open_.begin()->first, open_.begin()->second);
-    const auto pending = std::max(slowness, oldest);
-    return pending * (1.0 + queue_weight * static_cast<double>(open_.size())) *
-           (1.0 + failures * failure_cost);
+    return std::max(decayed(slowness_, 1.0, now), oldest);
+}
+
+auto replica_load::failure_factor(time_point now) const -> double
+{
+    return 1.0 + decayed(failures_, 0.0, now) * failure_cost;
 }
 
 auto replica_load::decayed(double value, double baseline, time_point now) const -> double
--- a/src/relay/request_log.cpp
+++ b/src/relay/request_log.cpp
@@ -135,6 +135,21 @@
     }
 }
 
+auto request_log::on_zone_change(const zone_change& change, time_point now) -> void
+{
+    if (!zone_budget_.take(1.0, 0.0, now)) {
+        return;
+    }
+    const auto own_load = std::to_string(change.own_load);
+    if (change.leaving) {
+        log_line.info("Leaving the zone.", {{"service", change.group},
+                                            {"load", own_load},
+                                            {"price", std::to_string(change.price)}});
+    } else {
+        log_line.info("Keeping to the zone.", {{"service", change.group}, {"load", own_load}});
+    }
+}
+
 auto request_log::on_reject(const relay_call& call, std::string_view reason,
                             const admission_verdict& verdict, duration retry_after, time_point now)
     -> void
--- a/src/relay/target_selector.cpp
+++ b/src/relay/target_selector.cpp
@@ -14,16 +14,17 @@
 }
 
 auto target_selector::select_target(const std::string& service,
-                                    const std::vector<std::string>& tried, time_point now)
-    -> selection
+                                    const std::vector<std::string>& tried, time_point now,
+                                    const zone_preference& preference) -> selection
 {
     const auto* rule = registry_->rule_for(service);
     const auto filter = choose_versions(rule, service, tried.empty());
-    auto best = find_best(service, tried, rule, filter, now);
+    auto best = find_best(service, tried, rule, filter, now, preference);
     if (!best.target && filter == version_filter::only_new) {
         const auto any_version = rule->use == version_use::preferred;
         best = find_best(service, tried, rule,
-                         any_version ? version_filter::any : version_filter::only_old, now);
+                         any_version ? version_filter::any : version_filter::only_old, now,
+                         preference);
     }
     return best;
 }
@@ -42,10 +43,11 @@
 }
 
 auto target_selector::find_best(const std::string& service, const std::vector<std::string>& tried,
-                                const version_rule* rule, version_filter filter, time_point now)
-    -> selection
+                                const version_rule* rule, version_filter filter, time_point now,
+                                const zone_preference& preference) -> selection
 {
     auto best = selection{};
+    auto best_is_preferred = false;
     for (const auto& target : registry_->usable(service)) {
         const auto excluded =
             filter != version_filter::any &&
@@ -63,9 +65,12 @@
             continue;
         }
         const auto expected_cost = cost(*target, now);
-        if (!best.target || expected_cost < best.cost) {
+        const auto preferred = is_preferred(*target, preference, now);
+        if (!best.target || (preferred && !best_is_preferred) ||
+            (preferred == best_is_preferred && expected_cost < best.cost)) {
             best.target = target;
             best.cost = expected_cost;
+            best_is_preferred = preferred;
         }
     }
     return best;
@@ -84,6 +89,24 @@
     });
 }
 
+auto target_selector::is_preferred(const target_record& target, const zone_preference& preference,
+                                   time_point now) -> bool
+{
+    const auto own = target.availability_zone == own_zone_;
+    switch (preference.choice) {
+    case zone_choice::by_cost:
+        return true;
+    case zone_choice::stay:
+        return own && load(target.id).trouble(now) < policy_.dark_cost;
+    case zone_choice::leave:
+        break;
+    }
+    const auto closed = std::find(preference.closed.begin(), preference.closed.end(),
+                                  target.availability_zone) != preference.closed.end();
+    const auto allowed = std::max<std::int64_t>(target.slots / policy_.helper_slots_divisor, 1);
+    return !own && !closed && static_cast<std::int64_t>(load(target.id).in_flight()) < allowed;
+}
+
 auto target_selector::cost(const target_record& target, time_point now) -> double
 {
     auto spread = std::uniform_real_distribution<double>{1.0, 1.0 + policy_.cost_spread};
