Room by demand: instances lend each other room where share_by_demand calls for it

Cause: the decision had no messages, and nothing used it. Change: two datagram kinds, room_request and room_grant, appended; earlier kinds are encoded as before.

--- a/include/knapweedchute/admission/service_capacity.hpp
+++ b/include/knapweedchute/admission/service_capacity.hpp
@@ -10,7 +10,7 @@
 namespace knapweedchute {
 
 /// \brief Estimates how many requests of a route this instance can have at targets at once.
-/// \detail For services with few slots that many instances share: each instance counts on an equal
+/// \detail For services with few slots that many instances share: each instance counts on its
 ///         part of the slots that the targets publish.
 class service_capacity
 {
@@ -18,7 +18,13 @@
     explicit service_capacity(const target_registry& registry) : registry_{&registry} {}
 
     /// \brief Sets the number of instances that share the targets, at least 1.
-    auto set_instance_count(std::size_t count) noexcept -> void { instance_count_ = count; }
+    auto set_instance_count(std::size_t count) noexcept -> void
+    {
+        set_fraction(1.0 / static_cast<double>(count));
+    }
+
+    /// \brief Sets the fraction of the targets' slots that this instance counts on.
+    auto set_fraction(double fraction) noexcept -> void { fraction_ = fraction; }
 
     /// \brief Returns this instance's part of the slots of the scarcest service that is needed.
     /// \param matched_route Route of the request.
@@ -30,7 +36,7 @@
 
 private:
     const target_registry* registry_;
-    std::size_t instance_count_ = 1;
+    double fraction_ = 1.0;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -20,6 +20,7 @@
 #include <knapweedchute/net/connection_pool.hpp>
 #include <knapweedchute/net/peer_port.hpp>
 #include <knapweedchute/relay/relay_coordinator.hpp>
+#include <knapweedchute/sharing/demand_share.hpp>
 #include <knapweedchute/usage/usage_driver.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -89,6 +90,10 @@
     auto log_evictions() -> void;
     auto log_callers_ended() -> void;
     auto log_proof() -> void;
+    auto log_room(double borrowed) -> void;
+    auto listen_for_room() -> void;
+    auto exchange_room(const std::vector<member>& members) -> void;
+    [[nodiscard]] auto shared_fraction() const -> double;
     auto record_peer_configuration(const std::string& peer, std::uint64_t version) -> void;
     [[nodiscard]] auto configuration_version() const -> std::uint64_t;
     auto finish_stop(time_point deadline) -> void;
@@ -113,6 +118,7 @@
     cluster_view view_;
     peer_port peers_;
     rollout_driver rollout_driver_;
+    std::optional<demand_share> share_; ///< Empty: room is divided without regard to demand.
     extra_request_window extras_;
     cold_limiter cold_limiter_;
     connection_pool pool_;
@@ -149,6 +155,9 @@
     time_point evictions_logged_at_;
     std::uint64_t logged_callers_ended_ = 0;
     time_point callers_ended_logged_at_;
+    std::uint64_t counted_shed_ = 0; ///< Requests refused at the last exchange of room.
+    bool has_loans_ = false;         ///< Whether room was borrowed at the last line about it.
+    time_point room_logged_at_;
     bool stopping_ = false;
     bool finishing_ = false; ///< Whether connections are no longer accepted.
 };
--- a/include/knapweedchute/entry/entry_settings.hpp
+++ b/include/knapweedchute/entry/entry_settings.hpp
@@ -44,9 +44,10 @@
     milliseconds propagation_limit{3'000};
     /// Time after its revocation from which a key is accepted nowhere; empty: no such limit.
     std::optional<milliseconds> revocation_limit;
-    std::optional<usage_settings> usage;             ///< Reports of usage; empty: none are due.
+    std::optional<usage_settings> usage; ///< Reports of usage; empty: none are due.
     /// Latency that a KiB from another availability zone is worth, in ms; 0: no price.
     double zone_byte_price = 0.0;
+    bool share_by_demand = false; ///< Whether instances lend each other shared room.
     std::size_t memory_limit = default_memory_limit; ///< Memory of the process, in bytes.
 
     double caller_memory_share = 0.25;    ///< Fraction of the memory that callers may fill.
--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -168,6 +168,8 @@
 #include <knapweedchute/runtime/store_agent.hpp>
 #include <knapweedchute/runtime/transfer.hpp>
 #include <knapweedchute/runtime/transfer_worker.hpp>
+#include <knapweedchute/sharing/demand_share.hpp>
+#include <knapweedchute/sharing/room_loan.hpp>
 #include <knapweedchute/store/http_key_value_store.hpp>
 #include <knapweedchute/store/key_value_store.hpp>
 #include <knapweedchute/store/stored_value.hpp>
--- a/include/knapweedchute/membership/peer_message.hpp
+++ b/include/knapweedchute/membership/peer_message.hpp
@@ -2,6 +2,7 @@
 
 #include <knapweedchute/membership/member.hpp>
 #include <knapweedchute/rollout/evidence_row.hpp>
+#include <knapweedchute/sharing/room_loan.hpp>
 
 #include <cstdint>
 #include <string>
@@ -15,11 +16,13 @@
     ping,            ///< Requests an acknowledgement.
     acknowledgement, ///< Reply to a ping.
     indirect_ping,   ///< Requests a ping of `subject`; its acknowledgement is relayed.
-    evidence         ///< Carries rollout evidence.
+    evidence,        ///< Carries rollout evidence.
+    room_request,    ///< Requests a loan of shared room; `sequence` is a time of the sender.
+    room_grant       ///< Reply to a request for room, with its `sequence`.
 };
 
 /// \brief Datagram between instances: a probe or its reply with piggybacked member updates, or
-///        rollout evidence.
+///        rollout evidence, or a request or loan of shared room.
 struct peer_message
 {
     peer_message_kind kind = peer_message_kind::ping;
@@ -31,6 +34,8 @@
     std::vector<member> updates;      ///< Recent changes of members.
     std::vector<evidence_row> evidence; ///< Rollout evidence, for `evidence`.
 
+    room_loan room; ///< Room that is lent, for `room_grant`.
+
     [[nodiscard]] auto operator==(const peer_message&) const -> bool = default;
 };
 
@@ -50,6 +55,10 @@
             value.config_version, value.proof_age_ms);
     save_bounded(archive, value.updates);
     save_bounded(archive, value.evidence);
+    // The encoding of earlier kinds stays as releases without this one read it.
+    if (value.kind == peer_message_kind::room_grant) {
+        archive(value.room);
+    }
 }
 
 template <typename Archive>
@@ -60,10 +69,13 @@
             value.proof_age_ms);
     load_bounded(archive, value.updates, max_updates);
     load_bounded(archive, value.evidence, max_evidence_rows);
-    if (kind > static_cast<std::uint8_t>(peer_message_kind::evidence)) {
+    if (kind > static_cast<std::uint8_t>(peer_message_kind::room_grant)) {
         throw cereal::Exception{"unknown message kind"};
     }
     value.kind = static_cast<peer_message_kind>(kind);
+    if (value.kind == peer_message_kind::room_grant) {
+        archive(value.room);
+    }
 }
 
 } // namespace knapweedchute
--- a/include/knapweedchute/net/peer_port.hpp
+++ b/include/knapweedchute/net/peer_port.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,20 @@
         evidence_listener_ = std::move(listener);
     }
 
+    /// \brief Requests a loan of shared room from a peer.
+    /// \param at Time of the request, which the reply repeats.
+    auto request_room(const address& peer, duration at) -> void;
+
+    /// \brief Sets what grants and receives loans of shared room.
+    /// \param lend   Grants a loan to an instance, or none.
+    /// \param borrow Receives the loan of an instance and the time of its request.
+    auto on_room(std::function<std::optional<room_loan>(const std::string&)> lend,
+                 std::function<void(const std::string&, room_loan, duration)> borrow) -> void
+    {
+        lend_ = std::move(lend);
+        borrow_ = std::move(borrow);
+    }
+
     /// \brief Sets the listener for the configuration versions that peers have in force.
     auto on_configuration(
         std::function<void(const std::string& instance, std::uint64_t version)> listener) -> void
@@ -63,6 +78,7 @@
 private:
     auto receive() -> void;
     auto on_datagram(std::size_t count) -> void;
+    auto on_room_message(const peer_message& message) -> void;
     auto tick() -> void;
     auto send(const std::vector<outgoing>& messages) -> void;
 
@@ -75,6 +91,8 @@
     std::array<char, 2'048> input_{};
     std::function<void(const std::vector<evidence_row>&)> evidence_listener_;
     std::function<void(const std::string&, std::uint64_t)> configuration_listener_;
+    std::function<std::optional<room_loan>(const std::string&)> lend_;
+    std::function<void(const std::string&, room_loan, duration)> borrow_;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/relay/extra_request_window.hpp
+++ b/include/knapweedchute/relay/extra_request_window.hpp
@@ -4,8 +4,10 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace knapweedchute {
 
@@ -19,6 +21,15 @@
     [[nodiscard]] auto operator==(const extra_request_limits&) const -> bool = default;
 };
 
+/// \brief Use of the allowance of extra requests.
+struct extra_request_use
+{
+    double highest = 0.0; ///< Of all services, as a fraction of the whole allowance.
+    bool refused = false; ///< Whether an extra request was refused.
+
+    [[nodiscard]] auto operator==(const extra_request_use&) const -> bool = default;
+};
+
 /// \brief Limits hedges and retries to a budget that all instances share without coordination.
 ///
 /// \detail Each instance counts its own requests and an equal part of the fixed allowance, so the
@@ -34,6 +45,16 @@
     /// \brief Sets the number of instances among which the allowance is divided.
     auto set_instance_count(std::size_t instances) noexcept -> void { instance_count_ = instances; }
 
+    /// \brief Sets what tells this instance's fraction of the allowance when it is used.
+    /// \param source Empty: the allowance is divided equally.
+    auto set_fraction_source(std::function<double()> source) -> void
+    {
+        fraction_ = std::move(source);
+    }
+
+    /// \brief Returns the use within the window and what was refused since the last call.
+    [[nodiscard]] auto take_use(time_point now) -> extra_request_use;
+
     /// \brief Records an ordinary request to a service.
     auto on_request(const std::string& service, time_point now) -> void;
 
@@ -50,6 +71,8 @@
 
     extra_request_limits limits_;
     std::size_t instance_count_ = 1;
+    std::function<double()> fraction_;
+    bool refused_ = false;
     std::unordered_map<std::string, request_history> services_;
 };
 
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -101,6 +101,12 @@
         capacity_.set_instance_count(count);
     }
 
+    /// \brief Sets the fraction of the targets' slots that admission counts on.
+    auto set_capacity_fraction(double fraction) noexcept -> void
+    {
+        capacity_.set_fraction(fraction);
+    }
+
     /// \brief Number of requests that wait for admission.
     [[nodiscard]] auto waiting() const noexcept -> std::size_t { return admission_.waiting(); }
 
--- a/include/knapweedchute/sharing/demand_share.hpp
+++ b/include/knapweedchute/sharing/demand_share.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <knapweedchute/core/time.hpp>
+#include <knapweedchute/sharing/room_loan.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -22,15 +23,6 @@
     [[nodiscard]] auto operator==(const share_limits&) const -> bool = default;
 };
 
-/// \brief Room that an instance lends to another one.
-struct room_loan
-{
-    std::uint32_t permil = 0; ///< Thousandths of the lendable part of one instance.
-    std::uint32_t count = 0;  ///< Instances among which the lender divides the limit.
-
-    [[nodiscard]] auto operator==(const room_loan&) const -> bool = default;
-};
-
 /// \brief Divides a limit that all instances share by demand, without exceeding it together.
 ///
 /// \detail Each instance has what `limit_fraction` says. A part of that, less than the smallest
--- a/include/knapweedchute/zoning/zone_spill.hpp
+++ b/include/knapweedchute/zoning/zone_spill.hpp
@@ -25,9 +25,9 @@
     double end_load = 0.3;     ///< Load of the own zone below which the share is taken back.
     double step = 0.05;        ///< Change of the share at a time.
     double max_share = 0.8;    ///< Largest share; the rest keeps observing the own zone.
-    duration step_interval = seconds{1};       ///< Mean time between changes of a share.
-    duration evidence_lifetime = seconds{10};  ///< Time after which an observed load is forgotten.
-    std::size_t min_exchanges = 4;             ///< Exchanges that make a new load.
+    duration step_interval = seconds{1};      ///< Mean time between changes of a share.
+    duration evidence_lifetime = seconds{10}; ///< Time after which an observed load is forgotten.
+    std::size_t min_exchanges = 4;            ///< Exchanges that make a new load.
 
     [[nodiscard]] auto operator==(const zone_spill_policy&) const -> bool = default;
 };
@@ -52,11 +52,11 @@
 /// \brief An exchange with a target as evidence of the load of its availability zone.
 struct zone_evidence
 {
-    std::string availability_zone;         ///< Availability zone of the target.
-    duration elapsed = duration::zero();   ///< Time from sending to the end.
-    duration latency_goal = seconds{1};    ///< Latency goal of the route.
-    std::size_t answer_bytes = 0;          ///< Bytes of the answer's body; 0: none.
-    bool rejected = false;                 ///< Whether the target had no room.
+    std::string availability_zone;       ///< Availability zone of the target.
+    duration elapsed = duration::zero(); ///< Time from sending to the end.
+    duration latency_goal = seconds{1};  ///< Latency goal of the route.
+    std::size_t answer_bytes = 0;        ///< Bytes of the answer's body; 0: none.
+    bool rejected = false;               ///< Whether the target had no room.
 
     [[nodiscard]] auto operator==(const zone_evidence&) const -> bool = default;
 };
--- a/src/admission/service_capacity.cpp
+++ b/src/admission/service_capacity.cpp
@@ -31,7 +31,7 @@
     const auto needed = std::max(std::ceil(coverage * total - rounding_tolerance), 1.0);
     const auto scarcest = slots.begin() + static_cast<std::ptrdiff_t>(total - needed);
     std::nth_element(slots.begin(), scarcest, slots.end());
-    return static_cast<double>(*scarcest) / static_cast<double>(instance_count_);
+    return static_cast<double>(*scarcest) * fraction_;
 }
 
 } // namespace knapweedchute
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -44,6 +44,7 @@
 /// store, peers, operators and readiness.
 constexpr auto caller_descriptor_fraction = 0.75;
 constexpr auto eviction_log_interval = seconds{10};
+constexpr auto room_log_interval = seconds{10};
 /// The recorded maximum lag of the event loop decays to about a third in this time.
 constexpr auto lag_decay_time = std::chrono::duration<double>(10.0);
 constexpr auto status_ok = 200U;
@@ -155,6 +156,7 @@
     if (!open) {
         return false;
     }
+    listen_for_room();
     run_maintenance();
     log_line.info("Started.",
                   {{"instance", settings_.instance}, {"zone", settings_.availability_zone}});
@@ -227,6 +229,7 @@
     compare("propagation_limit", settings_.propagation_limit, values.propagation_limit);
     compare("revocation_limit", settings_.revocation_limit, values.revocation_limit);
     compare("usage", settings_.usage, values.usage);
+    compare("share_by_demand", settings_.share_by_demand, values.share_by_demand);
     compare("memory_limit", settings_.memory_limit, values.memory_limit);
     compare("caller_memory_percent", settings_.caller_memory_share, values.caller_memory_share);
     compare("max_descriptors", settings_.max_descriptors, values.max_descriptors);
@@ -396,6 +399,81 @@
     const auto sharing = static_cast<std::size_t>(std::lround(1.0 / limit_share()));
     extras_.set_instance_count(sharing);
     coordinator_.set_instance_count(sharing);
+    if (share_) {
+        exchange_room(members);
+    }
+}
+
+auto entry_instance::listen_for_room() -> void
+{
+    if (!settings_.share_by_demand) {
+        return;
+    }
+    auto limits = share_limits{};
+    limits.window = settings_.extras.window;
+    share_.emplace(settings_.instance, limits, boot_time());
+    extras_.set_fraction_source([this] { return shared_fraction(); });
+    peers_.on_room(
+        [this](const auto& borrower) {
+            // Use since the last maintenance counts, too.
+            const auto use = extras_.take_use(timers_.now());
+            share_->observe(use.highest, use.refused, boot_time());
+            return share_->lend(borrower, boot_time());
+        },
+        [this](const auto& lender, auto loan, auto requested_at) {
+            share_->on_loan(lender, loan, requested_at, boot_time());
+        });
+}
+
+auto entry_instance::exchange_room(const std::vector<member>& members) -> void
+{
+    const auto now = boot_time();
+    share_->set_members(instance_count_, limit_share());
+    const auto use = extras_.take_use(timers_.now());
+    const auto shed = counters_.value(counter::queries_shed);
+    const auto refused = std::exchange(counted_shed_, shed) != shed;
+    share_->observe(use.highest, use.refused || refused, now);
+    auto others = std::map<std::string, address>{};
+    for (const auto& peer : members) {
+        if (peer.serving() && peer.instance != settings_.instance) {
+            others.emplace(peer.instance, peer.peer_address);
+        }
+    }
+    auto names = std::vector<std::string>{};
+    for (const auto& [name, peer] : others) {
+        names.push_back(name);
+    }
+    for (const auto& lender : share_->select_lenders(names, now)) {
+        if (const auto known = others.find(lender); known != others.end()) {
+            peers_.request_room(known->second, now);
+        }
+    }
+    coordinator_.set_capacity_fraction(shared_fraction());
+    log_room(share_->borrowed(now));
+}
+
+auto entry_instance::shared_fraction() const -> double
+{
+    const auto now = boot_time();
+    const auto fraction = share_->fraction(now);
+    // A process that was paused may not know by how many the limit is divided now.
+    return member_knowledge_.valid(now) ? fraction : fraction - share_->borrowed(now);
+}
+
+auto entry_instance::log_room(double borrowed) -> void
+{
+    const auto now = timers_.now();
+    if ((borrowed > 0.0) == has_loans_ || now - room_logged_at_ < room_log_interval) {
+        return;
+    }
+    has_loans_ = borrowed > 0.0;
+    room_logged_at_ = now;
+    if (has_loans_) {
+        log_line.info("Room borrowed.", {{"fraction", std::to_string(borrowed)},
+                                         {"own", std::to_string(limit_share())}});
+    } else {
+        log_line.info("Room given back.", {{"own", std::to_string(limit_share())}});
+    }
 }
 
 auto entry_instance::limit_share() const -> double
--- a/src/entry/entry_pages.cpp
+++ b/src/entry/entry_pages.cpp
@@ -1,4 +1,5 @@
 // The member functions of entry_instance that serve readiness, addresses, metrics and state.
+#include <knapweedchute/core/boot_time.hpp>
 #include <knapweedchute/core/gauge_text.hpp>
 #include <knapweedchute/core/log.hpp>
 #include <knapweedchute/entry/entry_instance.hpp>
@@ -67,6 +68,10 @@
                        usage_ ? static_cast<double>(usage_->open_windows()) : 0.0);
     text += gauge_text("targets", "", static_cast<double>(view_.targets().size()));
     text += gauge_text("instances", "", static_cast<double>(instance_count_));
+    const auto room = [&](auto part) { return share_ ? ((*share_).*part)(boot_time()) : 0.0; };
+    text += gauge_text("room_fraction", "", share_ ? shared_fraction() : limit_share());
+    text += gauge_text("room_borrowed_fraction", "", room(&demand_share::borrowed));
+    text += gauge_text("room_lent_fraction", "", room(&demand_share::lent));
     text += gauge_text("connections", "", static_cast<double>(pool_.open_connections()));
     text += gauge_text("requests_in_progress", "", static_cast<double>(coordinator_.in_progress()));
     text += gauge_text("zone_leaving_share", "", coordinator_.leaving_share());
--- a/src/entry/entry_settings_reader.cpp
+++ b/src/entry/entry_settings_reader.cpp
@@ -82,6 +82,7 @@
         value.propagation_limit = std::min(value.propagation_limit, key_propagation(revocation));
     }
     value.usage = read_usage(reader);
+    value.share_by_demand = reader.flag_or("share_by_demand", false);
     constexpr auto default_memory_mb =
         static_cast<std::int64_t>(entry_settings::default_memory_limit) / mebibyte;
     value.memory_limit =
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -101,8 +101,15 @@
 {
     auto messages = std::vector<outgoing>{};
     for (const auto& peer : random_members(options_.gossip_fanout)) {
-        auto message = peer_message{
-            peer_message_kind::evidence, self_, 0, {}, config_version_, proof_age_ms_, {}, rows};
+        auto message = peer_message{peer_message_kind::evidence,
+                                    self_,
+                                    0,
+                                    {},
+                                    config_version_,
+                                    proof_age_ms_,
+                                    {},
+                                    rows,
+                                    {}};
         messages.push_back({peer.peer_address, std::move(message)});
     }
     return messages;
@@ -142,7 +149,8 @@
 
 auto membership::make_message(peer_message_kind kind, std::uint64_t sequence) -> peer_message
 {
-    auto message = peer_message{kind, self_, sequence, {}, config_version_, proof_age_ms_, {}, {}};
+    auto message =
+        peer_message{kind, self_, sequence, {}, config_version_, proof_age_ms_, {}, {}, {}};
     // Continues after the member whose update was sent last, so that no update is starved.
     auto next = entries_.upper_bound(last_update_sent_);
     for (auto visited = std::size_t{0}; visited < entries_.size(); ++visited) {
--- a/src/net/peer_port.cpp
+++ b/src/net/peer_port.cpp
@@ -61,6 +61,35 @@
     send(membership_.make_evidence_messages(rows));
 }
 
+auto peer_port::request_room(const address& peer, duration at) -> void
+{
+    auto message = peer_message{};
+    message.kind = peer_message_kind::room_request;
+    message.from = membership_.self();
+    message.sequence = static_cast<std::uint64_t>(at.count());
+    send({{peer, std::move(message)}});
+}
+
+auto peer_port::on_room_message(const peer_message& message) -> void
+{
+    if (message.kind == peer_message_kind::room_grant) {
+        if (borrow_) {
+            borrow_(message.from.instance, message.room,
+                    duration{static_cast<duration::rep>(message.sequence)});
+        }
+        return;
+    }
+    const auto loan = lend_ ? lend_(message.from.instance) : std::nullopt;
+    if (loan) {
+        auto reply = peer_message{};
+        reply.kind = peer_message_kind::room_grant;
+        reply.from = membership_.self();
+        reply.sequence = message.sequence;
+        reply.room = *loan;
+        send({{message.from.peer_address, std::move(reply)}});
+    }
+}
+
 auto peer_port::receive() -> void
 {
     socket_.async_receive_from(boost::asio::buffer(input_), sender_,
@@ -83,6 +112,10 @@
         log_line.warning("Datagram refused.", {{"reason", to_string(reason)}});
         return;
     }
+    if (message->kind >= peer_message_kind::room_request) {
+        on_room_message(*message);
+        return;
+    }
     if (!message->evidence.empty() && evidence_listener_) {
         evidence_listener_(message->evidence);
     }
--- a/src/workspace/request_authorizer.cpp
+++ b/src/workspace/request_authorizer.cpp
@@ -25,8 +25,9 @@
 
 auto take_fields(field_list& fields, std::string_view name) -> field_list
 {
-    const auto others = std::stable_partition(
-        fields.begin(), fields.end(), [&](const auto& field) { return !same_name(field.name, name); });
+    const auto others = std::stable_partition(fields.begin(), fields.end(), [&](const auto& field) {
+        return !same_name(field.name, name);
+    });
     auto taken = field_list{std::make_move_iterator(others), std::make_move_iterator(fields.end())};
     fields.erase(others, fields.end());
     return taken;
@@ -36,7 +37,8 @@
 auto parse_value(const std::string& value) -> std::optional<std::string>
 {
     const auto blank = value.find(' ');
-    if (blank == std::string::npos || !same_name(std::string_view{value}.substr(0, blank), scheme)) {
+    if (blank == std::string::npos ||
+        !same_name(std::string_view{value}.substr(0, blank), scheme)) {
         return std::nullopt;
     }
     auto key = boost::algorithm::trim_copy(value.substr(blank + 1));
--- a/src/zoning/zone_spill.cpp
+++ b/src/zoning/zone_spill.cpp
@@ -65,10 +65,9 @@
     zone.seen = now;
     if (evidence.answer_bytes > 0) {
         using real_milliseconds = std::chrono::duration<double, std::milli>;
-        const auto worth = policy_.byte_price * static_cast<double>(evidence.answer_bytes) /
-                           bytes_per_kib;
-        const auto price =
-            worth / std::max(real_milliseconds(evidence.latency_goal).count(), 1.0);
+        const auto worth =
+            policy_.byte_price * static_cast<double>(evidence.answer_bytes) / bytes_per_kib;
+        const auto price = worth / std::max(real_milliseconds(evidence.latency_goal).count(), 1.0);
         state->price += (price - state->price) * answer_weight;
     }
 }
@@ -140,9 +139,8 @@
             zone.exchanges = 0;
         }
     }
-    std::erase_if(state.zones, [](const auto& item) {
-        return item.second.exchanges == 0 && !item.second.load;
-    });
+    std::erase_if(state.zones,
+                  [](const auto& item) { return item.second.exchanges == 0 && !item.second.load; });
 }
 
 auto zone_spill::own_load(const group_state& state) const -> std::optional<double>
--- a/tests/unit/sharing/demand_share_test.cpp
+++ b/tests/unit/sharing/demand_share_test.cpp
@@ -1,10 +1,14 @@
 #include <knapweedchute/membership/limit_fraction.hpp>
+#include <knapweedchute/membership/peer_message.hpp>
+#include <knapweedchute/relay/extra_request_window.hpp>
 #include <knapweedchute/sharing/demand_share.hpp>
+#include <knapweedchute/wire/envelope.hpp>
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <memory>
 #include <random>
 
@@ -214,4 +218,58 @@
     BOOST_TEST(lender.lend("c", 48s)->permil == 500U);
 }
 
+BOOST_AUTO_TEST_CASE(extra_requests_of_lender_and_borrower_stay_within_the_allowance)
+{
+    constexpr auto allowance = 100.0;
+    auto now = duration{100s};
+    auto names = std::vector<std::string>{"a", "b"};
+    auto shares = std::array{demand_share{"a", {}, 0s}, demand_share{"b", {}, 0s}};
+    auto windows = std::vector<extra_request_window>(2, extra_request_window{{0.0, allowance}});
+    auto sent = std::deque<duration>{};
+    auto most_of_borrower = std::size_t{0};
+    for (auto index = std::size_t{0}; index < 2; ++index) {
+        shares[index].set_members(2, 0.5);
+        windows[index].set_fraction_source([&, index] { return shares[index].fraction(now); });
+    }
+    for (; now < 220s; now += 100ms) {
+        // First the one is short of room, then the other, with no pause in between.
+        const auto busy = std::size_t{now < 160s ? 1U : 0U};
+        auto granted = std::size_t{0};
+        while (windows[busy].try_acquire("s", time_point{now})) {
+            sent.push_back(now);
+            granted += 1;
+        }
+        std::erase_if(sent, [&](auto at) { return at <= now - 10s; });
+        BOOST_REQUIRE_LE(static_cast<double>(sent.size()), allowance);
+        most_of_borrower = std::max(most_of_borrower, busy == 1 ? sent.size() : 0);
+        for (auto index = std::size_t{0}; index < 2; ++index) {
+            const auto use = windows[index].take_use(time_point{now});
+            shares[index].observe(use.highest, use.refused, now);
+            for (const auto& lender : shares[index].select_lenders(names, now)) {
+                if (const auto loan = shares[1 - index].lend(names[index], now)) {
+                    shares[index].on_loan(lender, *loan, now, now);
+                }
+            }
+        }
+    }
+    BOOST_TEST(most_of_borrower == 51U);
+}
+
+BOOST_AUTO_TEST_CASE(loan_is_carried_and_other_messages_stay_as_they_were)
+{
+    const auto codec = envelope{"store", message_key{"store"}};
+    auto message = peer_message{};
+    const auto earlier_size = codec.encode(message).size();
+    message.kind = peer_message_kind::room_request;
+    BOOST_TEST(codec.encode(message).size() == earlier_size);
+    message.kind = peer_message_kind::room_grant;
+    message.room = {500, 84};
+    const auto bytes = codec.encode(message);
+    BOOST_TEST(bytes.size() == earlier_size + 8);
+    auto reason = error{};
+    const auto decoded = codec.decode<peer_message>({bytes.data(), bytes.size()}, reason);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((*decoded == message));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
