Room by demand: bound of extra requests by case, capacity, proofs

Cause: the case of lender and borrower passed without the window after a loan. Change: the demand changes just after a burst and the bound is what windows grant.

--- a/tests/unit/sharing/demand_share_test.cpp
+++ b/tests/unit/sharing/demand_share_test.cpp
@@ -221,6 +221,7 @@
 BOOST_AUTO_TEST_CASE(extra_requests_of_lender_and_borrower_stay_within_the_allowance)
 {
     constexpr auto allowance = 100.0;
+    constexpr auto granted_at_most = 85.0; // The window leaves a part of the allowance unused.
     auto now = duration{100s};
     auto names = std::vector<std::string>{"a", "b"};
     auto shares = std::array{demand_share{"a", {}, 0s}, demand_share{"b", {}, 0s}};
@@ -233,14 +234,12 @@
     }
     for (; now < 220s; now += 100ms) {
         // First the one is short of room, then the other, with no pause in between.
-        const auto busy = std::size_t{now < 160s ? 1U : 0U};
-        auto granted = std::size_t{0};
+        const auto busy = std::size_t{now < 161s ? 1U : 0U};
         while (windows[busy].try_acquire("s", time_point{now})) {
             sent.push_back(now);
-            granted += 1;
         }
         std::erase_if(sent, [&](auto at) { return at <= now - 10s; });
-        BOOST_REQUIRE_LE(static_cast<double>(sent.size()), allowance);
+        BOOST_REQUIRE_LE(static_cast<double>(sent.size()), granted_at_most);
         most_of_borrower = std::max(most_of_borrower, busy == 1 ? sent.size() : 0);
         for (auto index = std::size_t{0}; index < 2; ++index) {
             const auto use = windows[index].take_use(time_point{now});
