Usage counts each request once, not each of its parts

The first exchange of a request that ends counts it. Checked by the compiler (syntax only); neither linked nor measured.

--- a/include/knapweedchute/usage/usage_driver.hpp
+++ b/include/knapweedchute/usage/usage_driver.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace knapweedchute {
@@ -87,6 +88,7 @@
     usage_reporter reporter_;
     duty_store* store_ = nullptr;
     std::map<address, recipient> recipients_;
+    std::set<std::uint64_t> counted_calls_; ///< Latest requests that are counted.
     time_point passed_on_at_;
     std::uint64_t logged_number_ = 0; ///< Number of the own duty that the log told last; 0: none.
     std::uint64_t logged_dropped_ = 0;
--- a/src/usage/usage_driver.cpp
+++ b/src/usage/usage_driver.cpp
@@ -19,6 +19,8 @@
 constexpr auto peer_timeout = milliseconds{1'000};
 /// A report is sent only if the lease outlives its call.
 constexpr auto report_timeout = milliseconds{1'500};
+/// Requests that may still be in progress; ids of requests grow.
+constexpr auto max_counted_calls = std::size_t{20'000};
 constexpr auto max_rows = std::size_t{200'000};
 constexpr auto status_ok = 200U;
 constexpr auto counts_path = "/usage/counts";
@@ -68,9 +70,13 @@
 
 auto usage_driver::on_run(const target_run& run) -> void
 {
-    if (run.workspace.empty()) {
+    // Parts, retries and hedges of one request count once.
+    if (run.workspace.empty() || !counted_calls_.insert(run.call).second) {
         return;
     }
+    if (counted_calls_.size() > max_counted_calls) {
+        counted_calls_.erase(counted_calls_.begin());
+    }
     const auto sent = boot_time() - (timers_->now() - run.sent);
     if (!ledger_.add(clock_.window_at(sent), run.workspace)) {
         counters_->add(counter::usage_runs_late);
