Admission is fair by workspace inside a kind

Change: within a kind the workspace admitted least is next; one whose admitted part is below 0.35 of that of all goes before. The expected wait is that of the workspace's own queue and part. Idle workspaces are forgotten, 1,024 a kind have state of their own. A workspace with a priority of its own is a kind of its own. Without workspaces nothing changes.

--- a/include/knapweedchute/admission/waiting_queue.hpp
+++ b/include/knapweedchute/admission/waiting_queue.hpp
@@ -1,32 +1,20 @@
 #pragma once
 
+#include <knapweedchute/admission/workspace_queue.hpp>
 #include <knapweedchute/core/time.hpp>
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
 
 namespace knapweedchute {
 
-/// \brief A request that waits to be admitted.
-struct waiting_request
-{
-    std::uint64_t id = 0;    ///< Id of the request, unique in this process.
-    std::string kind;        ///< Requests of one kind are admitted in the order of `latest_start`.
-    int priority = 0;        ///< Priority of the kind; 0 is served first.
-    time_point latest_start; ///< When it is too late to start the request.
-
-    [[nodiscard]] auto operator==(const waiting_request&) const -> bool = default;
-};
-
 /// \brief Requests that wait for admission to one group of services, by kind.
 ///
 /// \detail For more arrivals than can be admitted at once. The kind whose requests were admitted
 ///         least, relative to its arrivals and weighted by priority, is next; within a kind, the
-///         request that must start first. No kind starves: the admitted share of a kind is at least
+///         `workspace_queue` decides. No kind starves: the admitted share of a kind is at least
 ///         `priority_weight` to the power of the difference in priority, of the share of any other
 ///         kind that has requests waiting. Each operation takes logarithmic time in the number of
 ///         waiting requests.
@@ -37,10 +25,14 @@
     static constexpr auto priority_weight = 0.85;
 
     /// \brief Records the arrival of a request of a kind, whether or not it will wait.
-    auto on_arrival(const std::string& kind, int priority, time_point now) -> void;
+    /// \param workspace Workspace that the request belongs to; empty: none.
+    auto on_arrival(const std::string& kind, int priority, time_point now,
+                    const std::string& workspace = {}) -> void;
 
     /// \brief Records that a request of a kind was admitted without waiting.
-    auto on_admitted(const std::string& kind, time_point now) -> void;
+    /// \param workspace Workspace that the request belongs to; empty: none.
+    auto on_admitted(const std::string& kind, time_point now, const std::string& workspace = {})
+        -> void;
 
     /// \brief Adds a request; its kind must have been recorded as arrived.
     auto push(const waiting_request& request) -> void;
@@ -61,20 +53,28 @@
     /// \brief Number of waiting requests of one kind.
     [[nodiscard]] auto size_of(const std::string& kind) const -> std::size_t;
 
+    /// \brief Number of waiting requests of one kind and workspace.
+    [[nodiscard]] auto size_of(const std::string& kind, const std::string& workspace) const
+        -> std::size_t;
+
     /// \brief Returns the fraction of all recent arrivals that were of one kind, 0 to 1.
     [[nodiscard]] auto arrival_share(const std::string& kind) const -> double;
 
+    /// \brief Returns the fraction of the admissions of a kind that a workspace can expect, above 0
+    ///        to 1.
+    [[nodiscard]] auto admission_share(const std::string& kind, const std::string& workspace) const
+        -> double;
+
 private:
     struct kind_state
     {
         double weight = 1.0;
         double arrived = 0.0;  ///< Recent arrivals; decays with time.
         double admitted = 0.0; ///< Recent admissions; decays with time.
-        std::map<std::pair<time_point, std::uint64_t>, waiting_request> waiting;
+        workspace_queue waiting;
     };
 
     auto decay(time_point now) -> void;
-    auto take(kind_state& kind) -> waiting_request;
 
     std::map<std::string, kind_state> kinds_;
     std::size_t size_ = 0;
--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -9,6 +9,7 @@
 #include <knapweedchute/admission/return_schedule.hpp>
 #include <knapweedchute/admission/service_capacity.hpp>
 #include <knapweedchute/admission/waiting_queue.hpp>
+#include <knapweedchute/admission/workspace_queue.hpp>
 #include <knapweedchute/config/availability_zone_spec.hpp>
 #include <knapweedchute/config/configuration.hpp>
 #include <knapweedchute/config/configuration_head.hpp>
--- a/src/admission/relay_admission.cpp
+++ b/src/admission/relay_admission.cpp
@@ -18,22 +18,31 @@
 /// Typical latencies are never taken to be shorter.
 constexpr auto min_typical = milliseconds{1};
 
+/// Requests of one kind have one priority: those of a workspace with a priority of its own are a
+/// kind besides the route's.
+auto kind_of(const admission_request& request) -> std::string
+{
+    const auto& matched = *request.matched_route;
+    const auto own = !request.workspace.empty() && request.priority != matched.priority;
+    return own ? matched.name + "\n" + std::to_string(request.priority) : matched.name;
+}
+
 } // namespace
 
 auto relay_admission::on_arrival(const admission_request& request, time_point now)
     -> admission_verdict
 {
     auto& group = groups_[request.group];
-    const auto& kind = request.matched_route->name;
+    const auto kind = kind_of(request);
     group.used_at = now;
     group.limit.set_min(std::ceil(request.slots * requests_per_slot));
-    group.queue.on_arrival(kind, request.priority, now);
+    group.queue.on_arrival(kind, request.priority, now, request.workspace);
     auto verdict = admission_verdict{};
     verdict.limit = group.limit.value();
     verdict.in_progress = group.in_progress;
     verdict.waiting = group.queue.size();
     if (group.queue.size() == 0 && has_capacity(group)) {
-        group.queue.on_admitted(kind, now);
+        group.queue.on_admitted(kind, now, request.workspace);
         group.in_progress += 1;
         return verdict;
     }
@@ -44,7 +53,8 @@
         return verdict;
     }
     verdict.decision = admission_decision::wait;
-    const auto entry = waiting_request{request.id, kind, request.priority, now + verdict.max_wait};
+    const auto entry = waiting_request{request.id, kind, request.priority, now + verdict.max_wait,
+                                       request.workspace};
     group.queue.push(entry);
     waiting_.emplace(request.id, entry);
     return verdict;
@@ -120,9 +130,11 @@
 auto relay_admission::expected_wait(const group_state& group, const admission_request& request)
     -> duration
 {
-    const auto& kind = request.matched_route->name;
-    const auto ahead = static_cast<double>(group.queue.size_of(kind) + 1);
-    const auto rate = end_rate(group, request.typical) * group.queue.arrival_share(kind);
+    const auto kind = kind_of(request);
+    const auto& workspace = request.workspace;
+    const auto ahead = static_cast<double>(group.queue.size_of(kind, workspace) + 1);
+    const auto rate = end_rate(group, request.typical) * group.queue.arrival_share(kind) *
+                      group.queue.admission_share(kind, workspace);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(ahead / rate));
 }
 
--- a/src/admission/waiting_queue.cpp
+++ b/src/admission/waiting_queue.cpp
@@ -15,23 +15,28 @@
 
 } // namespace
 
-auto waiting_queue::on_arrival(const std::string& kind, int priority, time_point now) -> void
+auto waiting_queue::on_arrival(const std::string& kind, int priority, time_point now,
+                               const std::string& workspace) -> void
 {
     decay(now);
     auto& state = kinds_[kind];
     state.weight = std::pow(priority_weight, priority);
     state.arrived += 1.0;
+    state.waiting.on_arrival(workspace, now);
 }
 
-auto waiting_queue::on_admitted(const std::string& kind, time_point now) -> void
+auto waiting_queue::on_admitted(const std::string& kind, time_point now,
+                                const std::string& workspace) -> void
 {
     decay(now);
-    kinds_[kind].admitted += 1.0;
+    auto& state = kinds_[kind];
+    state.admitted += 1.0;
+    state.waiting.on_admitted(workspace);
 }
 
 auto waiting_queue::push(const waiting_request& request) -> void
 {
-    kinds_[request.kind].waiting.emplace(std::pair{request.latest_start, request.id}, request);
+    kinds_[request.kind].waiting.push(request);
     size_ += 1;
 }
 
@@ -42,7 +47,7 @@
     for (auto kind = kinds_.begin(); kind != kinds_.end(); ++kind) {
         const auto& state = kind->second;
         const auto share = state.admitted / (std::max(state.arrived, 1.0) * state.weight);
-        if (!state.waiting.empty() && (next == kinds_.end() || share < lowest_share)) {
+        if (state.waiting.size() > 0 && (next == kinds_.end() || share < lowest_share)) {
             next = kind;
             lowest_share = share;
         }
@@ -50,16 +55,17 @@
     if (next == kinds_.end()) {
         return std::nullopt;
     }
-    auto request = take(next->second);
-    on_admitted(request.kind, now);
+    size_ -= 1;
+    auto request = next->second.waiting.pop();
+    decay(now);
+    kinds_[request->kind].admitted += 1.0;
     return request;
 }
 
 auto waiting_queue::remove(const waiting_request& request) -> bool
 {
     const auto kind = kinds_.find(request.kind);
-    const auto removed =
-        kind != kinds_.end() && kind->second.waiting.erase({request.latest_start, request.id}) > 0;
+    const auto removed = kind != kinds_.end() && kind->second.waiting.remove(request);
     size_ -= removed ? 1 : 0;
     return removed;
 }
@@ -67,8 +73,9 @@
 auto waiting_queue::pop_expired(time_point now) -> std::optional<waiting_request>
 {
     for (auto& [name, kind] : kinds_) {
-        if (!kind.waiting.empty() && kind.waiting.begin()->first.first <= now) {
-            return take(kind);
+        if (auto expired = kind.waiting.pop_expired(now)) {
+            size_ -= 1;
+            return expired;
         }
     }
     return std::nullopt;
@@ -80,6 +87,13 @@
     return found == kinds_.end() ? 0 : found->second.waiting.size();
 }
 
+auto waiting_queue::size_of(const std::string& kind, const std::string& workspace) const
+    -> std::size_t
+{
+    const auto found = kinds_.find(kind);
+    return found == kinds_.end() ? 0 : found->second.waiting.size_of(workspace);
+}
+
 auto waiting_queue::arrival_share(const std::string& kind) const -> double
 {
     auto total = 0.0;
@@ -90,6 +104,13 @@
     return found == kinds_.end() || total <= 0.0 ? 1.0 : found->second.arrived / total;
 }
 
+auto waiting_queue::admission_share(const std::string& kind, const std::string& workspace) const
+    -> double
+{
+    const auto found = kinds_.find(kind);
+    return found == kinds_.end() ? 1.0 : found->second.waiting.admission_share(workspace);
+}
+
 auto waiting_queue::decay(time_point now) -> void
 {
     if (now - decayed_at_ < decay_interval) {
@@ -103,15 +124,8 @@
         kind.admitted *= factor;
     }
     std::erase_if(kinds_, [](const auto& item) {
-        return item.second.waiting.empty() && item.second.arrived < forgotten_below;
+        return item.second.waiting.size() == 0 && item.second.arrived < forgotten_below;
     });
 }
 
-auto waiting_queue::take(kind_state& kind) -> waiting_request
-{
-    auto node = kind.waiting.extract(kind.waiting.begin());
-    size_ -= 1;
-    return std::move(node.mapped());
-}
-
 } // namespace knapweedchute
