A key is judged again once a connection is made, and for the workspace that it belonged to

Cause: second reading of the code of keys. A request that waited for its connection was written without another look: up to the second of the connect limit later, or after a pause of the process, so a key that was taken away ran. A key given to another workspace stayed valid for requests under the name of the one before.

--- a/include/knapweedchute/relay/exchange_port.hpp
+++ b/include/knapweedchute/relay/exchange_port.hpp
@@ -23,6 +23,8 @@
     bool repeatable = true;                      ///< False: avoids connections that may be stale.
     bool answers_have_ids = true;                ///< Whether answers repeat the request id.
     std::size_t max_answer_bytes = 4 << 20;      ///< Maximum bytes of an answer, as received.
+    /// Asked again before a request that had to wait for its connection is sent; empty: it may be.
+    std::function<bool()> may_send = {};
 };
 
 /// \brief Interface that sends requests to targets: over the network or, in tests, by a fake.
--- a/include/knapweedchute/workspace/key_authority.hpp
+++ b/include/knapweedchute/workspace/key_authority.hpp
@@ -51,7 +51,9 @@
     key_authority(key_limits limits, table_lookup active_table, age_lookup age);
 
     /// \brief Decides on a key of a configuration with workspaces.
-    [[nodiscard]] auto judge(const key_digest& key) const -> key_verdict;
+    /// \param holder Name of the workspace that must hold the key. A key that another one holds is
+    ///               `unproved`: its caller may return.
+    [[nodiscard]] auto judge(const key_digest& key, std::string_view holder) const -> key_verdict;
 
     /// \brief Decides on a request without a key.
     /// \returns `unknown` or `unproved`.
--- a/include/knapweedchute/workspace/request_authorizer.hpp
+++ b/include/knapweedchute/workspace/request_authorizer.hpp
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace knapweedchute {
 
@@ -37,9 +38,10 @@
                                  relayed_request& request) const -> authorization;
 
     /// \brief Decides whether a key of a request in progress is still valid.
-    [[nodiscard]] auto judge(const key_digest& key) const -> key_verdict
+    /// \param holder Name of the workspace under which the request is sent.
+    [[nodiscard]] auto judge(const key_digest& key, std::string_view holder) const -> key_verdict
     {
-        return authority_->judge(key);
+        return authority_->judge(key, holder);
     }
 
     /// \brief Returns the answer to a request of which nothing was sent because of its key.
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -46,6 +46,11 @@
             self->close(exchange_status::not_run);
             return;
         }
+        // Much time may have passed since the request was allowed, a pause of this process even.
+        if (self->order_.may_send && !self->order_.may_send()) {
+            self->close(exchange_status::not_run);
+            return;
+        }
         self->connected_ = true;
         auto ignored = boost::system::error_code{};
         self->socket_.set_option(tcp::no_delay{true}, ignored);
--- a/src/relay/relay_coordinator.cpp
+++ b/src/relay/relay_coordinator.cpp
@@ -146,7 +146,7 @@
     if (!call.key) {
         return true;
     }
-    const auto verdict = authorizer_->judge(*call.key);
+    const auto verdict = authorizer_->judge(*call.key, call.workspace);
     if (verdict != key_verdict::valid) {
         call.key_refusal = verdict;
     }
@@ -181,6 +181,12 @@
     auto order = exchange_order{
         selected.target, encode_request(call->request, names_, *selected.target, time_left),
         call->request.id, call->request.method != "HEAD", call->matched_route->idempotent};
+    if (call->key) {
+        order.may_send = [this, weak = std::weak_ptr{call}] {
+            const auto open_call = weak.lock();
+            return open_call && key_allows_send(*open_call);
+        };
+    }
     part.tried.push_back(selected.target->id);
     selector_.load(selected.target->id).on_send(now, route_latency_.typical(*call->matched_route));
     cold_->on_send(*selected.target, now);
--- a/src/workspace/key_authority.cpp
+++ b/src/workspace/key_authority.cpp
@@ -16,15 +16,16 @@
 {
 }
 
-auto key_authority::judge(const key_digest& key) const -> key_verdict
+auto key_authority::judge(const key_digest& key, std::string_view holder) const -> key_verdict
 {
     const auto* const table = active_table_();
-    const auto known = table != nullptr && table->workspaces() != nullptr &&
-                       table->workspaces()->find(key) != nullptr;
-    if (!known) {
+    const auto* const owner = table != nullptr && table->workspaces() != nullptr
+                                  ? table->workspaces()->find(key)
+                                  : nullptr;
+    if (owner == nullptr) {
         return judge_missing();
     }
-    return accepts() ? key_verdict::valid : key_verdict::unproved;
+    return owner->name == holder && accepts() ? key_verdict::valid : key_verdict::unproved;
 }
 
 auto key_authority::judge_missing() const -> key_verdict
--- a/src/workspace/request_authorizer.cpp
+++ b/src/workspace/request_authorizer.cpp
@@ -88,9 +88,10 @@
         result.key = digest;
     }
     if (!matched.is_public) {
-        const auto verdict =
-            result.key ? authority_->judge(*result.key) : authority_->judge_missing();
-        if (verdict != key_verdict::valid || result.owner == nullptr) {
+        const auto verdict = result.owner != nullptr
+                                 ? authority_->judge(*result.key, result.owner->name)
+                                 : authority_->judge_missing();
+        if (verdict != key_verdict::valid) {
             return {nullptr, std::nullopt, refusal(verdict)};
         }
     } else {
--- a/tests/unit/net/target_connection_test.cpp
+++ b/tests/unit/net/target_connection_test.cpp
@@ -421,4 +421,29 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(request_that_may_no_longer_be_sent_once_connected_is_never_sent)
+{
+    auto acceptor =
+        boost::asio::ip::tcp::acceptor{loop, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    auto order = exchange_order{nullptr, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "r1", true, true};
+    order.may_send = [] { return false; };
+    connection = std::make_shared<target_connection>(loop, names, [](const auto& /*idle*/) {});
+    connection->open({loopback_ip, acceptor.local_endpoint().port()}, std::move(order),
+                     [this](auto ended) {
+                         result = std::move(ended);
+                         loop.stop();
+                     });
+    loop.run_for(std::chrono::seconds{2});
+    auto other = boost::asio::io_context{};
+    auto socket = acceptor.accept(other);
+    connection->close();
+    auto received = std::string{};
+    auto failure = boost::system::error_code{};
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), failure);
+    BOOST_TEST(received.empty());
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->status == exchange_status::not_run));
+    BOOST_TEST(result->never_sent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/workspace/workspace_keys_test.cpp
+++ b/tests/unit/workspace/workspace_keys_test.cpp
@@ -123,9 +123,17 @@
 {
     const auto admitted = authorize("/closed/x", {{"Authorization", "Bearer key-a"}});
     table = table_with({{{"alpha", 1}, {digester.digest("key-b")}}});
-    BOOST_TEST((authorizer.judge(*admitted.key) == key_verdict::unknown));
+    BOOST_TEST((authorizer.judge(*admitted.key, "alpha") == key_verdict::unknown));
     age = milliseconds{2'500};
-    BOOST_TEST((authorizer.judge(*admitted.key) == key_verdict::unproved));
+    BOOST_TEST((authorizer.judge(*admitted.key, "alpha") == key_verdict::unproved));
+}
+
+BOOST_AUTO_TEST_CASE(key_given_to_another_workspace_is_not_valid_for_requests_of_the_one_before)
+{
+    const auto admitted = authorize("/closed/x", {{"Authorization", "Bearer key-a"}});
+    table = table_with({{{"alpha", 1}, {}}, {{"beta", 1}, {digester.digest("key-a")}}});
+    BOOST_TEST((authorizer.judge(*admitted.key, "alpha") == key_verdict::unproved));
+    BOOST_TEST((authorizer.judge(*admitted.key, "beta") == key_verdict::valid));
 }
 
 BOOST_AUTO_TEST_CASE(table_without_workspaces_changes_nothing)
