Search for revocations that come too late, beside the search for late changes

Cause: that no instance accepts a key more than 5 s after its revocation was shown by single cases only.

--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -5,6 +5,7 @@
 
 #include <knapweedchute/feed/feed_handler.hpp>
 #include <knapweedchute/feed/feed_subscriber.hpp>
+#include <knapweedchute/feed/peer_feed_source.hpp>
 #include <knapweedchute/membership/configuration_lag.hpp>
 
 #include <algorithm>
@@ -51,6 +52,19 @@
     std::map<std::string, feed_event> items;
     std::vector<feed_event> changes;
     std::uint64_t revision = 1;
+    /// Revision up to which watches hear of changes; nothing if they hear of all.
+    std::optional<std::uint64_t> heard;
+    std::uint64_t oldest = 0; ///< Watches from before this revision are told to read all again.
+
+    /// \brief Lets watches hear nothing from now on.
+    auto deafen() -> void { heard = heard.value_or(revision); }
+
+    /// \brief Drops the history; watches hear of changes again.
+    auto compact() -> void
+    {
+        heard.reset();
+        oldest = revision;
+    }
 
     auto remove(const std::string& key) -> void
     {
@@ -131,16 +145,22 @@
     bool refused = false; ///< The store answers that it does not serve this instance.
     /// Connections, the kept one and those opened next, that are silent.
     std::size_t silent_connections = 0;
+    duration held_up{0};   ///< Time for which answers are held up on their way.
     std::size_t calls = 0; ///< Watches begun.
 
 private:
     /// Looks for changes every few milliseconds, as the store pushes them.
     auto poll(const std::shared_ptr<feed_call>& call, std::uint64_t after, time_point end) -> void
     {
+        if (after < contents_->oldest) {
+            answer(call, {feed_read_status::history_expired, {}});
+            return;
+        }
+        const auto last = contents_->heard.value_or(contents_->revision);
         auto reply = feed_reply{feed_read_status::done, {}};
-        reply.page.revision = std::max(contents_->revision, after);
+        reply.page.revision = std::max(last, after);
         for (const auto& change : contents_->changes) {
-            if (change.revision > after) {
+            if (change.revision > after && change.revision <= last) {
                 reply.page.events.push_back(change);
             }
         }
@@ -157,7 +177,7 @@
 
     auto answer(const std::shared_ptr<feed_call>& call, const feed_reply& reply) -> void
     {
-        network_->at(network_->now() + answer_time, [this, call, reply] {
+        network_->at(network_->now() + answer_time + held_up, [this, call, reply] {
             if (!cut && silent_connections == 0) {
                 instance_->at(network_->now(), [call, reply] { call->finish(reply); });
             }
@@ -182,10 +202,12 @@
     /// \param caller Timers of the instance that calls.
     /// \param peer   Timers of the instance that is called.
     /// \param reachable Whether messages pass now.
+    /// \param held_up   Time for which answers are held up on their way now.
     peer_link(timer_queue& caller, timer_queue& peer, feed_handler& handler, const envelope& codec,
-              std::function<bool()> reachable)
-        : caller_{&caller}, peer_{&peer}, handler_{&handler}, codec_{&codec}, reachable_{std::move(
-                                                                                  reachable)}
+              feed_limits limits, std::function<bool()> reachable,
+              std::function<duration()> held_up)
+        : caller_{&caller}, peer_{&peer}, handler_{&handler}, codec_{&codec}, limits_{limits},
+          reachable_{std::move(reachable)}, held_up_{std::move(held_up)}
     {
     }
 
@@ -199,8 +221,9 @@
 
     auto watch(std::uint64_t after, milliseconds wait, listener done) -> void override
     {
-        call("/feed/changes?" + std::to_string(after) + "," + std::to_string(wait.count()),
-             wait + feed_fleet_limits.peer_margin(), std::move(done));
+        call("/feed/changes?" + std::to_string(after) + "," + std::to_string(wait.count()) +
+                 (limits_.proved() ? std::string{peer_feed_source::proved_ages} : ""),
+             wait + limits_.peer_margin(), std::move(done));
     }
 
     auto abort_watch() -> void override
@@ -222,7 +245,7 @@
             auto request = relayed_request{};
             request.target = target;
             handler_->handle(std::move(request), [this, pending](const relayed_answer& answer) {
-                caller_->at(caller_->now() + answer_time / 2,
+                caller_->at(caller_->now() + answer_time / 2 + held_up_(),
                             [this, pending, reply = decode(answer)] {
                                 if (reachable_()) {
                                     pending->finish(reply);
@@ -250,7 +273,9 @@
     timer_queue* peer_;
     feed_handler* handler_;
     const envelope* codec_;
+    feed_limits limits_;
     std::function<bool()> reachable_;
+    std::function<duration()> held_up_;
     std::weak_ptr<feed_call> waiting_;
 };
 
@@ -273,7 +298,7 @@
                          self,
                          *this,
                          "",
-                         feed_fleet_limits,
+                         fleet.limits,
                          [&fleet] { return fleet.timers.now().time_since_epoch(); }}
         {
             handler.set_subscriber(subscriber);
@@ -327,7 +352,10 @@
 
     /// \param zones   Availability zone of each instance.
     /// \param joining Instances, the last ones, that do not serve before `join_all`.
-    explicit feed_fleet(const std::vector<std::string>& zones, std::size_t joining = 0)
+    /// \param fleet_limits Limits of all instances.
+    explicit feed_fleet(const std::vector<std::string>& zones, std::size_t joining = 0,
+                        feed_limits fleet_limits = feed_fleet_limits)
+        : limits{fleet_limits}
     {
         for (const auto& zone : zones) {
             const auto index = static_cast<std::uint16_t>(members.size());
@@ -381,6 +409,8 @@
     std::function<bool(std::size_t from, std::size_t to)> reachable = [](auto, auto) {
         return true;
     };
+    feed_limits limits;               ///< Limits of all instances.
+    duration peer_answers_held_up{0}; ///< Time for which answers of peers are held up.
     manual_timer_queue timers;
     store_contents contents;
     envelope codec{"test", message_key{"0123456789abcdef"}};
@@ -410,10 +440,11 @@
         if (!link) {
             auto& called = *instances[index_of(peer)];
             link = std::make_unique<peer_link>(
-                from.timers, called.timers, called.handler, codec,
+                from.timers, called.timers, called.handler, codec, limits,
                 [this, caller = index_of(from.self), peer = index_of(peer)] {
                     return reachable(caller, peer);
-                });
+                },
+                [this] { return peer_answers_held_up; });
         }
         return *link;
     }
--- a/tests/support/pausable_timer_queue.hpp
+++ b/tests/support/pausable_timer_queue.hpp
@@ -42,6 +42,8 @@
 
     auto pause() -> void { paused_ = true; }
 
+    [[nodiscard]] auto paused() const noexcept -> bool { return paused_; }
+
     /// \brief Ends the pause and runs what became due, in its order.
     auto resume() -> void
     {
--- a/tests/support/propagation_schedule.cpp
+++ b/tests/support/propagation_schedule.cpp
@@ -11,37 +11,58 @@
 
 /// Time without disturbance after which an instance is in contact.
 constexpr auto contact_window = milliseconds{4'000};
+/// Time for which answers that begin their way are held up.
+constexpr auto hold_window = milliseconds{3'000};
 constexpr auto check_interval = milliseconds{10};
 constexpr auto config_key = "op/config";
 
-constexpr auto kind_names = std::array{"change",  "other", "lose_store", "refuse",
-                                       "silence", "pause", "lose_peers", "join_members"};
+constexpr auto kind_names =
+    std::array{"change",     "other",        "lose_store", "refuse",     "silence", "pause",
+               "lose_peers", "join_members", "hold_store", "hold_peers", "deafen"};
+/// Limits of a fleet whose instances must know when a key was taken away.
+constexpr auto proved_limits = feed_limits{seconds{3}, true};
+/// Time after the last step for which revocations are observed.
+constexpr auto revocation_tail = milliseconds{12'000};
 
 /// One play: applies the steps and observes the instances.
 class schedule_run
 {
 public:
-    schedule_run(const std::vector<std::string>& zones, std::size_t joining)
-        : fleet_{zones, joining}, disturbances_(zones.size()), lost_(zones.size(), 0)
+    schedule_run(const std::vector<std::string>& zones, std::size_t joining,
+                 feed_limits limits = feed_fleet_limits)
+        : fleet_{zones, joining, limits}, disturbances_(zones.size()), lost_(zones.size(), 0)
     {
     }
 
     auto play(const std::vector<schedule_step>& steps, duration limit) -> propagation_delay
+    {
+        run(steps, limit + check_interval, [&] { observe(limit); });
+        return slowest_;
+    }
+
+    auto play_revocations(const std::vector<schedule_step>& steps, duration max_accept_age)
+        -> propagation_delay
+    {
+        run(steps, revocation_tail, [&] { observe_accepted(max_accept_age); });
+        return slowest_;
+    }
+
+private:
+    template <typename Observe>
+    auto run(const std::vector<schedule_step>& steps, duration tail, Observe observe_all) -> void
     {
         const auto start = fleet_.timers.now();
         auto end = start;
         for (const auto& step : steps) {
             fleet_.timers.at(start + step.at, [this, step] { begin(step); });
-            end = std::max(end, start + step.at + limit + check_interval);
+            end = std::max(end, start + step.at + tail);
         }
         while (fleet_.timers.now() < end) {
             fleet_.timers.advance(check_interval);
-            observe(limit);
+            observe_all();
         }
-        return slowest_;
     }
 
-private:
     struct written_change
     {
         time_point at;
@@ -95,6 +116,18 @@
         case step_kind::join_members:
             fleet_.join_all();
             break;
+        case step_kind::hold_store:
+            affected.store.held_up = step.duration;
+            after(hold_window, [&affected] { affected.store.held_up = duration::zero(); });
+            break;
+        case step_kind::hold_peers:
+            fleet_.peer_answers_held_up = step.duration;
+            after(hold_window, [this] { fleet_.peer_answers_held_up = duration::zero(); });
+            break;
+        case step_kind::deafen:
+            fleet_.contents.deafen();
+            after(step.duration, [this] { fleet_.contents.compact(); });
+            break;
         }
     }
 
@@ -135,6 +168,21 @@
         }
     }
 
+    /// An instance that stands still sends nothing; it is observed again when it goes on.
+    auto observe_accepted(duration max_accept_age) -> void
+    {
+        const auto now = fleet_.timers.now();
+        for (const auto& observed : fleet_.instances) {
+            const auto age = observed->subscriber.age();
+            const auto& value = observed->values.at(config_key);
+            const auto known = value == "old" ? std::size_t{0} : std::stoul(value);
+            const auto accepts = !observed->timers.paused() && age && *age <= max_accept_age;
+            if (accepts && known < changes_.size() && now - changes_[known].at > slowest_.time) {
+                slowest_ = {now - changes_[known].at, observed->self.instance};
+            }
+        }
+    }
+
     feed_fleet fleet_;
     std::vector<written_change> changes_;
     std::vector<std::vector<disturbance>> disturbances_;
@@ -192,6 +240,44 @@
     return drawn;
 }
 
+auto draw_revocations(std::uint64_t seed, int max_faults) -> drawn_schedule
+{
+    auto random = std::mt19937_64{seed};
+    const auto draw = [&random](int least, int most) {
+        return std::uniform_int_distribution<int>{least, most}(random);
+    };
+    auto drawn = drawn_schedule{{"a", "a", "a", "a", "b", "b", "b", "c", "c"}, 0, {}};
+    const auto add = [&](int at, step_kind kind, int length) {
+        const auto instance = draw(0, static_cast<int>(drawn.zones.size()) - 1);
+        drawn.steps.push_back(
+            {milliseconds{at}, kind, static_cast<std::size_t>(instance), milliseconds{length}});
+    };
+    const auto first_change = draw(6'000, 9'000);
+    auto at = first_change;
+    for (auto count = draw(1, 3); count > 0; --count) {
+        add(at, step_kind::change, 0);
+        at += draw(200, 4'000);
+    }
+    for (auto count = draw(0, 4); count > 0; --count) {
+        add(first_change + draw(-2'000, 5'000), step_kind::other, 0);
+    }
+    constexpr auto faults = std::array{
+        step_kind::lose_store, step_kind::refuse,     step_kind::silence,    step_kind::pause,
+        step_kind::lose_peers, step_kind::hold_store, step_kind::hold_peers, step_kind::pause};
+    for (auto count = draw(1, max_faults); count > 0; --count) {
+        const auto kind = faults.at(static_cast<std::size_t>(draw(0, faults.size() - 1)));
+        const auto held = kind == step_kind::hold_store || kind == step_kind::hold_peers;
+        const auto length = draw(0, 1) == 0 ? draw(100, 1'500) : draw(1'500, held ? 3'000 : 9'000);
+        add(first_change + draw(-5'000, 5'000), kind, length);
+    }
+    if (draw(0, 2) == 0) {
+        add(first_change + draw(-1'200, 3'000), step_kind::deafen, draw(300, 1'000));
+    }
+    std::stable_sort(drawn.steps.begin(), drawn.steps.end(),
+                     [](const auto& left, const auto& right) { return left.at < right.at; });
+    return drawn;
+}
+
 schedule_player::schedule_player(std::vector<std::string> zones, std::size_t joining)
     : zones_{std::move(zones)}, joining_{joining}
 {
@@ -203,4 +289,10 @@
     return schedule_run{zones_, joining_}.play(steps, limit);
 }
 
+auto schedule_player::play_revocations(const std::vector<schedule_step>& steps,
+                                       duration max_accept_age) const -> propagation_delay
+{
+    return schedule_run{zones_, joining_, proved_limits}.play_revocations(steps, max_accept_age);
+}
+
 } // namespace knapweedchute::test
--- a/tests/support/propagation_schedule.hpp
+++ b/tests/support/propagation_schedule.hpp
@@ -13,14 +13,17 @@
 /// \brief What a step of a schedule does.
 enum class step_kind : std::uint8_t
 {
-    change,      ///< Writes a new configuration.
-    other,       ///< Writes another key, which makes watches return.
-    lose_store,  ///< Nothing passes between an instance and the store.
-    refuse,      ///< The store refuses the calls of an instance.
-    silence,     ///< The connections that an instance has to the store are silent; new ones work.
-    pause,       ///< The process of an instance stands still.
-    lose_peers,  ///< Nothing passes between an instance and its peers.
-    join_members ///< The last members of the fleet begin to serve.
+    change,       ///< Writes a new configuration.
+    other,        ///< Writes another key, which makes watches return.
+    lose_store,   ///< Nothing passes between an instance and the store.
+    refuse,       ///< The store refuses the calls of an instance.
+    silence,      ///< The connections that an instance has to the store are silent; new ones work.
+    pause,        ///< The process of an instance stands still.
+    lose_peers,   ///< Nothing passes between an instance and its peers.
+    join_members, ///< The last members of the fleet begin to serve.
+    hold_store,   ///< The store's answers to an instance are held up on their way.
+    hold_peers,   ///< All answers of peers are held up on their way.
+    deafen        ///< Watches of the store hear nothing; then the store drops its history.
 };
 
 /// \brief One step of a schedule.
@@ -56,6 +59,11 @@
 /// \param max_faults Largest number of faults, at least 1.
 [[nodiscard]] auto draw_schedule(std::uint64_t seed, int max_faults) -> drawn_schedule;
 
+/// \brief Draws a fleet, one to three changes and faults of every kind, long ones too, for
+///        `schedule_player::play_revocations`.
+/// \param max_faults Largest number of faults, at least 1.
+[[nodiscard]] auto draw_revocations(std::uint64_t seed, int max_faults) -> drawn_schedule;
+
 /// \brief Plays schedules of changes and faults in a fleet of given zones.
 class schedule_player
 {
@@ -71,6 +79,12 @@
     [[nodiscard]] auto play(const std::vector<schedule_step>& steps, duration limit) const
         -> propagation_delay;
 
+    /// \brief Plays one schedule in a fleet whose ages are proved.
+    /// \returns The longest time after a change at which an instance whose knowledge is not older
+    ///          than `max_accept_age` still had the configuration before, with the instance.
+    [[nodiscard]] auto play_revocations(const std::vector<schedule_step>& steps,
+                                        duration max_accept_age) const -> propagation_delay;
+
 private:
     std::vector<std::string> zones_;
     std::size_t joining_;
--- a/tests/support/propagation_search_main.cpp
+++ b/tests/support/propagation_search_main.cpp
@@ -17,6 +17,7 @@
     auto last = std::uint64_t{200};
     auto max_faults = 3;
     auto limit_ms = 3'000;
+    auto max_accept_age_ms = 0;
     app.add_option("--first", first, "first seed")->capture_default_str();
     app.add_option("--last", last, "last seed")->capture_default_str();
     app.add_option("--faults", max_faults, "largest number of faults in a schedule")
@@ -24,15 +25,22 @@
         ->check(CLI::Range(1, 20));
     app.add_option("--limit-ms", limit_ms, "time within which a change must be in use")
         ->capture_default_str();
+    app.add_option("--accept-age-ms", max_accept_age_ms,
+                   "plays revocations instead: age up to which instances accept keys; the limit is "
+                   "the time after which none may accept a key that was taken away");
     CLI11_PARSE(app, argc, argv);
 
     constexpr auto observed_limit = seconds{6};
     auto slowest = duration{0};
     auto late = std::size_t{0};
     for (auto seed = first; seed <= last; ++seed) {
-        const auto drawn = draw_schedule(seed, max_faults);
+        const auto revocations = max_accept_age_ms > 0;
+        const auto drawn =
+            revocations ? draw_revocations(seed, max_faults) : draw_schedule(seed, max_faults);
+        const auto player = schedule_player{drawn.zones, drawn.joining};
         const auto delay =
-            schedule_player{drawn.zones, drawn.joining}.play(drawn.steps, observed_limit);
+            revocations ? player.play_revocations(drawn.steps, milliseconds{max_accept_age_ms})
+                        : player.play(drawn.steps, observed_limit);
         slowest = std::max(slowest, delay.time);
         if (delay.time < milliseconds{limit_ms}) {
             continue;
