--- a/tests/support/propagation_schedule.cpp
+++ b/tests/support/propagation_schedule.cpp
@@ -265,7 +265,8 @@
         step_kind::lose_store, step_kind::refuse,     step_kind::silence,    step_kind::pause,
         step_kind::lose_peers, step_kind::hold_store, step_kind::hold_peers, step_kind::pause};
     for (auto count = draw(1, max_faults); count > 0; --count) {
-        const auto kind = faults.at(static_cast<std::size_t>(draw(0, faults.size() - 1)));
+        const auto kind =
+            faults.at(static_cast<std::size_t>(draw(0, static_cast<int>(faults.size()) - 1)));
         const auto held = kind == step_kind::hold_store || kind == step_kind::hold_peers;
         const auto length = draw(0, 1) == 0 ? draw(100, 1'500) : draw(1'500, held ? 3'000 : 9'000);
         add(first_change + draw(-5'000, 5'000), kind, length);
