--- a/include/knapweedchute/knapweedchute.hpp
+++ b/include/knapweedchute/knapweedchute.hpp
@@ -74,6 +74,8 @@
 #include <knapweedchute/net/answer_grammar.hpp>
 #include <knapweedchute/net/asio_timer_queue.hpp>
 #include <knapweedchute/net/call_client.hpp>
+#include <knapweedchute/net/caller_account.hpp>
+#include <knapweedchute/net/caller_guard.hpp>
 #include <knapweedchute/net/caller_listener.hpp>
 #include <knapweedchute/net/caller_session.hpp>
 #include <knapweedchute/net/connection_pool.hpp>
@@ -177,5 +179,18 @@
 #include <knapweedchute/target/target_record.hpp>
 #include <knapweedchute/target/target_registry.hpp>
 #include <knapweedchute/target/version_rule.hpp>
+#include <knapweedchute/usage/duty_holder.hpp>
+#include <knapweedchute/usage/duty_store.hpp>
+#include <knapweedchute/usage/usage_driver.hpp>
+#include <knapweedchute/usage/usage_ledger.hpp>
+#include <knapweedchute/usage/usage_reporter.hpp>
+#include <knapweedchute/usage/usage_statement.hpp>
+#include <knapweedchute/usage/window_clock.hpp>
 #include <knapweedchute/wire/bounded.hpp>
 #include <knapweedchute/wire/envelope.hpp>
+#include <knapweedchute/workspace/key_authority.hpp>
+#include <knapweedchute/workspace/key_digest.hpp>
+#include <knapweedchute/workspace/request_authorizer.hpp>
+#include <knapweedchute/workspace/run_observer.hpp>
+#include <knapweedchute/workspace/workspace_directory.hpp>
+#include <knapweedchute/zoning/zone_spill.hpp>
