Lost sources and requests without a route tell why

Cause: "Source lost" named no reason and was logged once for a whole row of failures, and a 404 for want of a route left no line: refused calls, answers that are too large and changes passed over could not be told apart. Change: failed reads and watches carry a reason, in "Source lost." and "Source still lost." (at most one in 2 s); "No route." with version and age; store_calls_refused, store_answers_unusable, queries_without_route. No decision changes.

--- a/include/knapweedchute/feed/feed_source.hpp
+++ b/include/knapweedchute/feed/feed_source.hpp
@@ -2,10 +2,12 @@
 
 #include <knapweedchute/core/time.hpp>
 #include <knapweedchute/feed/feed_event.hpp>
+#include <knapweedchute/relay/exchange_result.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace knapweedchute {
 
@@ -17,13 +19,38 @@
     failed           ///< No usable answer arrived.
 };
 
+/// \brief Why a read or watch failed.
+enum class feed_failure : std::uint8_t
+{
+    no_answer,  ///< No complete answer arrived in time, or the connection closed.
+    refused,    ///< The source answered that it does not serve the call.
+    too_large,  ///< The answer exceeded what a call takes in.
+    unreadable, ///< A complete answer arrived that is no page.
+    too_old,    ///< The page is older than what may be used.
+    no_advance  ///< The pages of a list do not advance.
+};
+
+/// \brief Returns the name of a failure for logs.
+[[nodiscard]] auto to_string(feed_failure failure) noexcept -> std::string_view;
+
 /// \brief Result of a read or watch.
 struct feed_reply
 {
     feed_read_status status = feed_read_status::failed; ///< Outcome.
     feed_page page;                                     ///< Valid if the status is `done`.
+    feed_failure failure = feed_failure::no_answer;     ///< Valid if the status is `failed`.
 };
 
+/// \brief Creates the result of a read or watch that failed.
+[[nodiscard]] inline auto failed_reply(feed_failure failure) -> feed_reply
+{
+    return {feed_read_status::failed, {}, failure};
+}
+
+/// \brief Returns why a call without a usable answer failed.
+/// \param result End of the call; an answer in it is a refusal.
+[[nodiscard]] auto failure_of(const exchange_result& result) noexcept -> feed_failure;
+
 /// \brief Reads keys and watches their changes, from the platform's store or a peer that reads it.
 class feed_source
 {
--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -94,7 +94,9 @@
     auto notify_listener(const feed_event& event) -> bool;
     auto select_source() -> feed_source&;
     [[nodiscard]] auto current_source() const -> feed_source&;
-    auto record_failure() -> void;
+    auto record_failure(feed_failure failure) -> void;
+    auto log_failure(feed_failure failure) -> void;
+    [[nodiscard]] static auto failure_in(const feed_reply& reply) -> feed_failure;
     auto record_contact(bool recent_disruption) -> void;
     auto begin_call(milliseconds wait) -> void;
     auto record_age(const feed_page& page) -> void;
@@ -127,6 +129,7 @@
     std::optional<member> followed_peer_;
     std::optional<time_point> last_disruption_;
     std::size_t consecutive_failures_ = 0;
+    time_point failure_logged_at_;
     std::optional<duration> up_to_date_at_; ///< When all changes were last known to be here.
     duration call_began_at_{0};             ///< Start of the latest call, by the clock of ages.
     milliseconds call_wait_{0};             ///< Time after which the source answers it in any case.
--- a/include/knapweedchute/relay/relay_coordinator.hpp
+++ b/include/knapweedchute/relay/relay_coordinator.hpp
@@ -18,8 +18,10 @@
 #include <knapweedchute/zoning/zone_spill.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -45,6 +47,9 @@
     const request_authorizer* authorizer = nullptr;
     /// Notified of the requests that begin to run at targets; null: nobody is.
     run_observer* runs = nullptr;
+    /// Time since all changes of the configuration were last known to be here; nothing: never.
+    /// Empty: they always are.
+    std::function<std::optional<duration>()> configuration_age = {};
 };
 
 /// \brief Sends callers' requests to targets and returns the answers.
@@ -128,6 +133,8 @@
     using call_handler = void (relay_coordinator::*)(const shared_call&);
 
     auto schedule(const shared_call& call, time_point when, call_handler handler) -> timer_id;
+    auto refuse_without_route(const route_table* table, const relayed_request& request)
+        -> relayed_answer;
     auto admit(const shared_call& call) -> void;
     [[nodiscard]] auto fits_before_stop(const call_state& call, time_point now) const -> bool;
     auto begin(const shared_call& call) -> void;
@@ -193,6 +200,7 @@
     memory_budget* memory_;
     const request_authorizer* authorizer_;
     run_observer* runs_;
+    std::function<std::optional<duration>()> configuration_age_;
     target_selector selector_;
     zone_spill zones_;
     route_latency route_latency_;
--- a/include/knapweedchute/relay/request_log.hpp
+++ b/include/knapweedchute/relay/request_log.hpp
@@ -6,6 +6,7 @@
 #include <knapweedchute/zoning/zone_spill.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,12 @@
     auto on_reject(const impl::relay_call& call, std::string_view reason,
                    const admission_verdict& verdict, duration retry_after, time_point now) -> void;
 
+    /// \brief Logs a request for which a configuration has no route, if the limit allows.
+    /// \param version Version of the configuration.
+    /// \param age     Time since all changes of it were last known to be here; nothing: never.
+    auto on_no_route(const relayed_request& request, std::uint64_t version,
+                     std::optional<duration> age, time_point now) -> void;
+
     /// \brief Logs that leaving the own availability zone begins or ends, if the limit allows.
     auto on_zone_change(const zone_change& change, time_point now) -> void;
 
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -21,6 +21,8 @@
 constexpr auto hold_duration = milliseconds{2'400};
 /// Time after a disruption during which a missing entry may be a consequence of it.
 constexpr auto disruption_window = milliseconds{4'000};
+/// Time between two lines that a source is still lost.
+constexpr auto loss_reminder_interval = seconds{2};
 /// The store's lists end after about 500 items; a watch's answer may, too.
 constexpr auto max_proving_events = std::size_t{450};
 const auto log_line = logger{"feed"};
@@ -72,7 +74,7 @@
 auto feed_subscriber::on_page(const std::string& prefix, const feed_reply& reply) -> void
 {
     if (reply.status != feed_read_status::done || is_too_old(reply.page)) {
-        record_failure();
+        record_failure(failure_in(reply));
         schedule_after(retry_delay(), &feed_subscriber::read_all);
         return;
     }
@@ -115,7 +117,7 @@
     log_line.warning("List does not advance.",
                      {{"prefix", prefix},
                       {"key", page.events.empty() ? std::string{} : page.events.back().key}});
-    record_failure();
+    record_failure(feed_failure::no_advance);
     // A peer that the store gives the whole list may have it.
     if (!followed_peer_) {
         selector_.record_store_failure(timers_->now());
@@ -183,7 +185,7 @@
         return;
     }
     if (reply.status != feed_read_status::done || is_too_old(reply.page)) {
-        record_failure();
+        record_failure(failure_in(reply));
         schedule_after(retry_delay(), &feed_subscriber::watch);
         return;
     }
@@ -240,14 +242,30 @@
     }
 }
 
-auto feed_subscriber::record_failure() -> void
+auto feed_subscriber::failure_in(const feed_reply& reply) -> feed_failure
 {
-    if (consecutive_failures_ == 0) {
-        log_line.warning("Source lost.",
-                         {{"revision", std::to_string(cache_.revision())},
-                          {"from", followed_peer_ ? followed_peer_->instance : "store"},
-                          {"age_ms", age_text()}});
+    return reply.status == feed_read_status::done ? feed_failure::too_old : reply.failure;
+}
+
+auto feed_subscriber::log_failure(feed_failure failure) -> void
+{
+    const auto now = timers_->now();
+    const auto first = consecutive_failures_ == 0;
+    if (!first && now - failure_logged_at_ < loss_reminder_interval) {
+        return;
     }
+    failure_logged_at_ = now;
+    log_line.warning(first ? "Source lost." : "Source still lost.",
+                     {{"revision", std::to_string(cache_.revision())},
+                      {"from", followed_peer_ ? followed_peer_->instance : "store"},
+                      {"reason", std::string{to_string(failure)}},
+                      {"losses", std::to_string(consecutive_failures_ + 1)},
+                      {"age_ms", age_text()}});
+}
+
+auto feed_subscriber::record_failure(feed_failure failure) -> void
+{
+    log_failure(failure);
     consecutive_failures_ += 1;
     if (followed_peer_) {
         selector_.record_failure(followed_peer_->instance, timers_->now());
--- a/src/feed/peer_feed_source.cpp
+++ b/src/feed/peer_feed_source.cpp
@@ -34,20 +34,22 @@
 
 auto peer_feed_source::call(const std::string& target, duration timeout, listener done) -> void
 {
-    client_.call(client_.encode("GET", target, ""), timeout,
-                 [this, done = std::move(done)](const exchange_result& result) {
-                     if (result.status == exchange_status::answered &&
-                         result.answer.status == status_gone) {
-                         done({feed_read_status::history_expired, {}});
-                         return;
-                     }
-                     auto reason = error{};
-                     const auto page = result.status == exchange_status::answered &&
-                                               result.answer.status == status_ok
-                                           ? codec_.decode<feed_page>(result.answer.body, reason)
-                                           : std::nullopt;
-                     done(page ? feed_reply{feed_read_status::done, *page} : feed_reply{});
-                 });
+    client_.call(
+        client_.encode("GET", target, ""), timeout,
+        [this, done = std::move(done)](const exchange_result& result) {
+            if (result.status == exchange_status::answered && result.answer.status == status_gone) {
+                done({feed_read_status::history_expired, {}});
+                return;
+            }
+            if (result.status != exchange_status::answered || result.answer.status != status_ok) {
+                done(failed_reply(failure_of(result)));
+                return;
+            }
+            auto reason = error{};
+            const auto page = codec_.decode<feed_page>(result.answer.body, reason);
+            done(page ? feed_reply{feed_read_status::done, *page}
+                      : failed_reply(feed_failure::unreadable));
+        });
 }
 
 } // namespace knapweedchute
--- a/src/relay/relay_start.cpp
+++ b/src/relay/relay_start.cpp
@@ -36,10 +36,7 @@
     counters_->add(counter::queries_received);
     const auto* matched = table ? table->find(request.host, path_of(request.target)) : nullptr;
     if (matched == nullptr) {
-        counters_->add(counter::queries_refused);
-        respond(table ? error_answer(status_not_found, "no route")
-                      : not_run_answer("no configuration yet",
-                                       retry_after_start(timers_->now() - created_at_)));
+        respond(refuse_without_route(table.get(), request));
         return 0;
     }
     auto authorized = authorizer_ == nullptr ? authorization{}
@@ -84,6 +81,20 @@
     return call->ended() ? 0 : call->id;
 }
 
+auto relay_coordinator::refuse_without_route(const route_table* table,
+                                             const relayed_request& request) -> relayed_answer
+{
+    counters_->add(counter::queries_refused);
+    if (table == nullptr) {
+        return not_run_answer("no configuration yet",
+                              retry_after_start(timers_->now() - created_at_));
+    }
+    counters_->add(counter::queries_without_route);
+    const auto age = configuration_age_ ? configuration_age_() : duration::zero();
+    log_.on_no_route(request, table->version(), age, timers_->now());
+    return error_answer(status_not_found, "no route");
+}
+
 auto relay_coordinator::admit(const shared_call& call) -> void
 {
     const auto now = timers_->now();
--- a/src/relay/request_log.cpp
+++ b/src/relay/request_log.cpp
@@ -135,6 +135,19 @@
     }
 }
 
+auto request_log::on_no_route(const relayed_request& request, std::uint64_t version,
+                              std::optional<duration> age, time_point now) -> void
+{
+    log_held_back(now);
+    if (!take_lines(log_reason::rejected, 1, now)) {
+        return;
+    }
+    log_line.info("No route.", {{"request", request.id},
+                                {"host", request.host},
+                                {"version", std::to_string(version)},
+                                {"age_ms", age ? milliseconds_of(*age) : "unknown"}});
+}
+
 auto request_log::on_zone_change(const zone_change& change, time_point now) -> void
 {
     if (!zone_budget_.take(1.0, 0.0, now)) {
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -21,6 +21,7 @@
     asio_timer_queue timers{loop};
     header_names names = platform::interface().headers;
     std::string body;
+    unsigned status = 200;
     fixed_handler pages{{{"/api/kv-range", [this](const auto&) { return answer(); }},
                          {"/api/kv-watch", [this](const auto&) { return answer(); }}}};
     caller_listener listener{loop, pages, timers, names};
@@ -34,7 +35,7 @@
         BOOST_REQUIRE(listener.open(where, reason));
     }
 
-    [[nodiscard]] auto answer() const -> relayed_answer { return {200, {}, body}; }
+    [[nodiscard]] auto answer() const -> relayed_answer { return {status, {}, body}; }
 
     auto read() -> feed_reply
     {
@@ -113,4 +114,18 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(failed_call_tells_why_and_is_counted_by_reason)
+{
+    body = "{}";
+    BOOST_TEST((watch().failure == feed_failure::unreadable));
+    body = std::string(std::size_t{17} << 20U, 'x');
+    BOOST_TEST((watch().failure == feed_failure::too_large));
+    body = "{}";
+    status = 503;
+    BOOST_TEST((watch().failure == feed_failure::refused));
+    BOOST_TEST(counters.value(counter::store_calls_lost) == 3U);
+    BOOST_TEST(counters.value(counter::store_calls_refused) == 1U);
+    BOOST_TEST(counters.value(counter::store_answers_unusable) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -527,6 +527,7 @@
 {
     start_request("/elsewhere/x");
     BOOST_TEST(single_answer().status == 404U);
+    BOOST_TEST(counters.value(counter::queries_without_route) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(relay_without_configuration_is_refused_as_not_run)
