An instance that a peer begins to follow stays fresh enough to be followed

What callers saw: 404 for added routes, for some 4 s out of 6, at instances that the store turned away. Cause: in a fleet of nine or fewer nobody is assigned to follow anybody, so a reader waited for news until its knowledge was as old as a peer may accept. An instance that the store refused and that asked a sound reader was told "too old" at the end of each quiet wait, and avoided that reader for 4 s. Change: a reader that a peer has asked in the last 4 s watches as one with followers; the wait of one that nobody asks ends a thirtieth of the limit (100 ms) before its knowledge is too old, so that its first follower isn't refused.

--- a/include/knapweedchute/feed/feed_limits.hpp
+++ b/include/knapweedchute/feed/feed_limits.hpp
@@ -35,11 +35,19 @@
     }
 
     /// \brief Wait of a watch of the store while nobody follows this instance.
-    /// \param age Age of what is known; the wait ends with `max_age`.
+    /// \param age Age of what is known; the answer is here before `max_age`, so that an instance
+    ///            that begins to follow this one is not refused meanwhile.
     [[nodiscard]] constexpr auto direct_watch(duration age) const noexcept -> milliseconds
     {
         // A change that ends the wait proves no more than that the call had begun.
-        return proved_ ? shared_watch(age) : remaining(age);
+        return proved_ ? shared_watch(age)
+                       : std::max(remaining(age) - answer_time(), milliseconds{0});
+    }
+
+    /// \brief Time that an answer of the store usually needs at most.
+    [[nodiscard]] constexpr auto answer_time() const noexcept -> milliseconds
+    {
+        return propagation_ / 30;
     }
 
     /// \brief Time after a watch's wait from which a connection to the store is considered silent.
--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -52,6 +52,9 @@
     /// \returns The cache; null if it is too old or this instance follows a peer.
     [[nodiscard]] auto cache_for_peers() const -> const feed_cache*;
 
+    /// \brief Records that a peer reads the cache, so that it is kept as current as peers need.
+    auto record_follower() -> void { asked_at_ = timers_->now(); }
+
     /// \brief Whether keys may be missing because of a recent store disruption.
     ///
     /// \detail A failed call to the store, expired history, or a disruption reported by the source
@@ -108,6 +111,7 @@
     auto schedule_after(duration delay, void (feed_subscriber::*task)()) -> void;
     [[nodiscard]] auto is_too_old(const feed_page& page) const -> bool;
     [[nodiscard]] auto watch_wait() const -> milliseconds;
+    [[nodiscard]] auto is_followed() const -> bool;
     [[nodiscard]] auto retry_delay() const -> duration;
     [[nodiscard]] auto hold_deadline() const -> std::optional<time_point>;
 
@@ -128,6 +132,7 @@
     std::set<std::string> page_ends_; ///< Last keys of the pages of the list in progress.
     std::optional<member> followed_peer_;
     std::optional<time_point> last_disruption_;
+    std::optional<time_point> asked_at_; ///< When a peer last read the cache.
     std::size_t consecutive_failures_ = 0;
     time_point failure_logged_at_;
     std::optional<duration> up_to_date_at_; ///< When all changes were last known to be here.
--- a/src/feed/feed_handler.cpp
+++ b/src/feed/feed_handler.cpp
@@ -38,6 +38,7 @@
         respond(not_run_answer(not_serving, duration::zero()));
         return 0;
     }
+    subscriber_->record_follower();
     if (request.target == "/feed/all") {
         respond(encode(cache->full_state(), std::nullopt));
         return 0;
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -21,6 +21,8 @@
 constexpr auto hold_duration = milliseconds{2'400};
 /// Time after a disruption during which a missing entry may be a consequence of it.
 constexpr auto disruption_window = milliseconds{4'000};
+/// Time for which an instance counts as followed after a peer has asked it.
+constexpr auto follower_memory = seconds{4};
 /// Time between two lines that a source is still lost.
 constexpr auto loss_reminder_interval = seconds{2};
 /// The store's lists end after about 500 items; a watch's answer may, too.
@@ -171,8 +173,14 @@
     if (!known_age) {
         return milliseconds{0};
     }
-    return has_followers(members_()) ? limits_.shared_watch(*known_age)
-                                     : limits_.direct_watch(*known_age);
+    return is_followed() ? limits_.shared_watch(*known_age) : limits_.direct_watch(*known_age);
+}
+
+auto feed_subscriber::is_followed() const -> bool
+{
+    // Also one that nobody is assigned to is asked by instances that the store refuses.
+    return has_followers(members_()) ||
+           (asked_at_ && timers_->now() - *asked_at_ < follower_memory);
 }
 
 auto feed_subscriber::on_watch(const feed_reply& reply) -> void
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -119,7 +119,7 @@
         auto call = feed_call::start(*instance_, wait + timeout_margin, std::move(done));
         waiting_ = call;
         if (refused) {
-            answer(call, {});
+            answer(call, failed_reply(feed_failure::refused));
         } else if (!cut && silent_connections == 0) {
             poll(call, after, network_->now() + wait);
         }
@@ -137,7 +137,7 @@
     {
         refused = true;
         if (const auto waiting = waiting_.lock()) {
-            answer(waiting, {});
+            answer(waiting, failed_reply(feed_failure::refused));
         }
     }
 
@@ -262,11 +262,13 @@
         if (answer.status == status_gone) {
             return {feed_read_status::history_expired, {}};
         }
+        if (answer.status != status_ok) {
+            return failed_reply(feed_failure::refused);
+        }
         auto reason = error{};
-        const auto page = answer.status == status_ok
-                              ? codec_->decode<feed_page>(answer.body, reason)
-                              : std::nullopt;
-        return page ? feed_reply{feed_read_status::done, *page} : feed_reply{};
+        const auto page = codec_->decode<feed_page>(answer.body, reason);
+        return page ? feed_reply{feed_read_status::done, *page}
+                    : failed_reply(feed_failure::unreadable);
     }
 
     timer_queue* caller_;
