An instance that the store turns away finds a peer that it serves

What callers saw: requests on an added route answered 404 for as long as the store turned a share of the instances away, at those of them whose first two choices were turned away too. Cause: after two failed peers the selector went back to the store, known to refuse, for 4 s; then it made the same two choices again, as they follow from address and incarnation. Nothing told a peer that refuses within a millisecond from one that is silent for seconds, and a peer that waited here was not told when this instance became a follower itself. Change: peers that refuse are passed over for 1 s, at most 4 s, without limit to their number; only silent ones lead back to the store, which counts from its last call. Where no reader serves and the store refuses, up to four times as many members of each zone are asked. Peers that wait are told when this instance begins to follow one.

--- a/src/feed/feed_source_selector.cpp
+++ b/src/feed/feed_source_selector.cpp
@@ -6,10 +6,14 @@
 namespace knapweedchute {
 namespace {
 
-/// Time for which a peer, or the store, is avoided after a failed read.
+/// Time for which the store, or a silent peer, is avoided after a failed read.
 constexpr auto failure_cooldown = seconds{4};
-/// With this many peers avoided, the instance reads the store itself.
-constexpr auto max_failed_peers = 2;
+/// Time for which a peer is avoided that refused at once; doubles up to `failure_cooldown`.
+constexpr auto refusal_cooldown = seconds{1};
+/// With this many peers silent since the store was called, it is called again.
+constexpr auto max_silent_peers = 2;
+/// Largest multiple of the readers of a zone among which one that serves is looked for.
+constexpr auto max_reader_factor = std::size_t{4};
 
 } // namespace
 
@@ -21,19 +25,14 @@
     if (!store_is_avoided && is_store_reader(members, self, readers_per_zone)) {
         return std::nullopt;
     }
-    const auto is_avoided = [&](const member& peer) {
-        const auto failure = failure_times_.find(peer.instance);
-        return failure != failure_times_.end() && now - failure->second < failure_cooldown;
-    };
-    if (std::count_if(members.begin(), members.end(), is_avoided) >= max_failed_peers) {
+    if (store_is_due(members, now)) {
         return std::nullopt;
     }
-    auto readers = std::vector<member>{};
-    for (const auto& peer : members) {
-        if (peer.instance != self.instance && peer.state == member_state::alive &&
-            !is_avoided(peer) && is_store_reader(members, peer, readers_per_zone)) {
-            readers.push_back(peer);
-        }
+    auto readers = available_readers(members, self, readers_per_zone, now);
+    // Where no reader serves, others that the store serves read it themselves.
+    for (auto factor = std::size_t{2};
+         store_is_avoided && readers.empty() && factor <= max_reader_factor; factor *= 2) {
+        readers = available_readers(members, self, factor * readers_per_zone, now);
     }
     // Prefers readers in the same zone; address and incarnation spread the followers over them.
     const auto same_zone_end =
@@ -49,9 +48,53 @@
     return readers[(self.peer_address.ip + self.incarnation) % candidate_count];
 }
 
-auto feed_source_selector::record_failure(const std::string& instance, time_point now) -> void
+auto feed_source_selector::available_readers(const std::vector<member>& members, const member& self,
+                                             std::size_t per_zone, time_point now) const
+    -> std::vector<member>
+{
+    auto readers = std::vector<member>{};
+    for (const auto& peer : members) {
+        if (peer.instance != self.instance && peer.state == member_state::alive &&
+            !is_avoided(peer.instance, now) && is_store_reader(members, peer, per_zone)) {
+            readers.push_back(peer);
+        }
+    }
+    return readers;
+}
+
+auto feed_source_selector::cooldown(const peer_failure& failure) -> duration
+{
+    if (failure.silent) {
+        return failure_cooldown;
+    }
+    const auto doublings = std::min<std::size_t>(failure.refusals_in_row - 1, 2);
+    return std::min<duration>(refusal_cooldown * (1U << doublings), failure_cooldown);
+}
+
+auto feed_source_selector::is_avoided(const std::string& instance, time_point now) const -> bool
+{
+    const auto failure = failures_.find(instance);
+    return failure != failures_.end() && now - failure->second.at < cooldown(failure->second);
+}
+
+auto feed_source_selector::store_is_due(const std::vector<member>& members, time_point now) const
+    -> bool
+{
+    const auto silent_since = [&](const member& peer) {
+        const auto failure = failures_.find(peer.instance);
+        return failure != failures_.end() && failure->second.silent &&
+               is_avoided(peer.instance, now) &&
+               (!store_failed_at_ || failure->second.at > *store_failed_at_);
+    };
+    return std::count_if(members.begin(), members.end(), silent_since) >= max_silent_peers;
+}
+
+auto feed_source_selector::record_failure(const std::string& instance, feed_failure failure,
+                                          time_point now) -> void
 {
-    failure_times_[instance] = now;
+    const auto refused = failure == feed_failure::refused || failure == feed_failure::too_old;
+    auto& known = failures_[instance];
+    known = {now, !refused, refused ? known.refusals_in_row + 1 : 0};
 }
 
 } // namespace knapweedchute
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -227,6 +227,10 @@
         log_line.info("Source chosen.",
                       {{"from", selected_source.empty() ? "store" : selected_source},
                        {"age_ms", age_text()}});
+        // Peers that wait here are told at once that this instance follows one now.
+        if (on_change_) {
+            on_change_();
+        }
     }
     auto& source = current_source();
     if (previous_source != selected_source || consecutive_failures_ > 0) {
@@ -276,7 +280,7 @@
     log_failure(failure);
     consecutive_failures_ += 1;
     if (followed_peer_) {
-        selector_.record_failure(followed_peer_->instance, timers_->now());
+        selector_.record_failure(followed_peer_->instance, failure, timers_->now());
     } else {
         last_disruption_ = timers_->now();
         // One lost answer does not turn followers away; the store is called once more first.
@@ -295,7 +299,9 @@
         log_line.info("Source regained.", {{"losses", std::to_string(consecutive_failures_)}});
     }
     consecutive_failures_ = 0;
-    if (!followed_peer_) {
+    if (followed_peer_) {
+        selector_.record_contact(followed_peer_->instance);
+    } else {
         selector_.record_store_contact();
     }
     if (recent_disruption) {
@@ -361,8 +367,8 @@
 
 auto feed_subscriber::retry_delay() const -> duration
 {
-    // The failed peer is avoided now, so the retry uses another source.
-    if (followed_peer_) {
+    // A failed peer is avoided now, and so may the store be: then the retry uses another source.
+    if (followed_peer_ || selector_.select_peer(members_(), self_, timers_->now())) {
         return duration::zero();
     }
     const auto doublings = std::min<std::size_t>(consecutive_failures_, 3);
--- a/tests/unit/platform/large_history_test.cpp
+++ b/tests/unit/platform/large_history_test.cpp
@@ -34,9 +34,9 @@
     /// \param peer The instance that it follows; nothing: it reads the store.
     instance(boost::asio::io_context& loop, timer_queue& timers, const address& store_address,
              const member& self, std::vector<member> members)
-        : store_{loop, timers, store_address, counters_, limits.store_margin()},
-          handler_{timers, codec_}, listener_{loop, handler_, timers, names_},
-          members_{std::move(members)},
+        : store_{loop, timers, store_address, counters_, limits.store_margin()}, handler_{timers,
+                                                                                          codec_},
+          listener_{loop, handler_, timers, names_}, members_{std::move(members)},
           subscriber_{timers,
                       store_,
                       [this, &loop, &timers](const member& peer) -> feed_source& {
