A watch whose answer can't be used is followed by a read of the current state

Cause: an answer that is too large, cut short or not understood was taken for a lost source, and the same watch, whose answer only grows, was repeated; nothing asked for less. Change: such a watch is followed by a read of all keys, in the pages that the store bounds, never a stale one; what it removes is removed at once, as the store has answered. An exchange tells whether its answer had begun.

--- a/include/knapweedchute/feed/feed_source.hpp
+++ b/include/knapweedchute/feed/feed_source.hpp
@@ -25,11 +25,19 @@
     no_answer,  ///< No complete answer arrived in time, or the connection closed.
     refused,    ///< The source answered that it does not serve the call.
     too_large,  ///< The answer exceeded what a call takes in.
+    cut_short,  ///< Part of an answer arrived before the time was over or the connection closed.
     unreadable, ///< A complete answer arrived that is no page.
     too_old,    ///< The page is older than what may be used.
     no_advance  ///< The pages of a list do not advance.
 };
 
+/// \brief Whether the source answered in a way that the same call would only repeat.
+[[nodiscard]] constexpr auto is_unusable_answer(feed_failure failure) noexcept -> bool
+{
+    return failure == feed_failure::too_large || failure == feed_failure::cut_short ||
+           failure == feed_failure::unreadable;
+}
+
 /// \brief Returns the name of a failure for logs.
 [[nodiscard]] auto to_string(feed_failure failure) noexcept -> std::string_view;
 
--- a/include/knapweedchute/relay/exchange_result.hpp
+++ b/include/knapweedchute/relay/exchange_result.hpp
@@ -35,6 +35,7 @@
     bool reused_connection = false; ///< Whether the connection served earlier requests.
     bool never_sent = false;        ///< Whether no byte was sent, for `not_run`.
     bool oversized = false;         ///< Whether the answer exceeded a limit, for `broken`.
+    bool answer_begun = false;      ///< Whether bytes of an answer had arrived at its end.
 };
 
 } // namespace knapweedchute
--- a/src/feed/feed_source.cpp
+++ b/src/feed/feed_source.cpp
@@ -4,10 +4,11 @@
 namespace knapweedchute {
 namespace {
 
-constexpr auto names = enum_names<feed_failure, 6>{{
+constexpr auto names = enum_names<feed_failure, 7>{{
     {feed_failure::no_answer, "no_answer"},
     {feed_failure::refused, "refused"},
     {feed_failure::too_large, "too_large"},
+    {feed_failure::cut_short, "cut_short"},
     {feed_failure::unreadable, "unreadable"},
     {feed_failure::too_old, "too_old"},
     {feed_failure::no_advance, "no_advance"},
@@ -26,7 +27,10 @@
     if (result.status == exchange_status::answered) {
         return feed_failure::refused;
     }
-    return result.oversized ? feed_failure::too_large : feed_failure::no_answer;
+    if (result.oversized) {
+        return feed_failure::too_large;
+    }
+    return result.answer_begun ? feed_failure::cut_short : feed_failure::no_answer;
 }
 
 } // namespace knapweedchute
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -193,8 +193,12 @@
         return;
     }
     if (reply.status != feed_read_status::done || is_too_old(reply.page)) {
-        record_failure(failure_in(reply));
-        schedule_after(retry_delay(), &feed_subscriber::watch);
+        const auto failure = failure_in(reply);
+        record_failure(failure);
+        // The current state is smaller than its history, and its pages are bounded.
+        history_lost_ = history_lost_ || is_unusable_answer(failure);
+        schedule_after(retry_delay(), is_unusable_answer(failure) ? &feed_subscriber::read_all
+                                                                  : &feed_subscriber::watch);
         return;
     }
     record_contact(reply.page.recent_disruption);
@@ -282,7 +286,9 @@
     if (followed_peer_) {
         selector_.record_failure(followed_peer_->instance, failure, timers_->now());
     } else {
-        last_disruption_ = timers_->now();
+        if (!is_unusable_answer(failure)) {
+            last_disruption_ = timers_->now();
+        }
         // One lost answer does not turn followers away; the store is called once more first.
         if (consecutive_failures_ > 1 || selector_.store_failed()) {
             selector_.record_store_failure(timers_->now());
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -311,6 +311,7 @@
         result.status = connected_ ? end : exchange_status::not_run;
         result.never_sent = !connected_;
         result.oversized = oversized_;
+        result.answer_begun = received_bytes_ > 0;
         finish(std::move(result));
     }
 }
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -64,6 +64,10 @@
         if (lost) {
             return;
         }
+        if (unusable && !reply.page.events.empty()) {
+            complete_after(failed_reply(*unusable), milliseconds{1}, std::move(done));
+            return;
+        }
         if (silent || hanging) {
             complete_after({feed_read_status::failed, {}}, wait + milliseconds{500},
                            std::move(done));
@@ -97,7 +101,8 @@
     bool up = true;
     bool hanging = false; ///< New watches time out, even if the source recovers meanwhile.
     bool lost = false;    ///< New watches are never answered, as for a paused process.
-    bool silent = false;  ///< Watches on kept connections time out; new connections work.
+    std::optional<feed_failure> unusable; ///< Why watches that have changes fail.
+    bool silent = false; ///< Watches on kept connections time out; new connections work.
 
 private:
     auto complete_after(const feed_reply& reply, duration after, listener done) -> void
@@ -179,6 +184,15 @@
 
 } // namespace
 
+namespace knapweedchute {
+
+auto boost_test_print_type(std::ostream& output, feed_failure failure) -> std::ostream&
+{
+    return output << to_string(failure);
+}
+
+} // namespace knapweedchute
+
 BOOST_FIXTURE_TEST_SUITE(feed_suite, feed_fixture)
 
 BOOST_AUTO_TEST_CASE(feed_start_reads_all_pages_once)
@@ -189,6 +203,24 @@
     BOOST_TEST(subscriber->cache_for_peers() != nullptr);
 }
 
+BOOST_DATA_TEST_CASE(feed_changes_in_an_unusable_answer_are_read_as_a_full_state,
+                     boost::unit_test::data::make({feed_failure::too_large, feed_failure::cut_short,
+                                                   feed_failure::unreadable}),
+                     failure)
+{
+    start();
+    store.unusable = failure;
+    store.apply_change(event("servers/d", 20));
+    store.apply_change(event("servers/a", 21, true));
+    timers.advance(seconds{3});
+    BOOST_TEST(listener.values.contains("servers/d"));
+    BOOST_TEST(!listener.values.contains("servers/a"));
+    BOOST_TEST(!listener.last_hold_until.has_value());
+    const auto reads = store.reads;
+    timers.advance(seconds{10});
+    BOOST_TEST(store.reads == reads);
+}
+
 BOOST_AUTO_TEST_CASE(feed_change_and_deletion_reach_the_listener)
 {
     start();
