What an instance keeps and sends of changes is bounded by the keys, not by how often they change

An instance kept up to 4,096 changes of any size for peers that lag, and sent them all: each version of a configuration of a megabyte. Change: the newest change of a key replaces the one before.

--- a/include/knapweedchute/feed/feed_cache.hpp
+++ b/include/knapweedchute/feed/feed_cache.hpp
@@ -10,12 +10,19 @@
 namespace knapweedchute {
 
 /// \brief Holds a copy of the store's keys and their latest changes, which is served to peers.
+/// \detail The newest change of a key replaces the one before, so that what is retained and sent is
+///         bounded by the keys and not by how often they change.
 class feed_cache
 {
 public:
-    /// \brief Maximum number of changes retained for peers that lag behind.
+    /// \brief Maximum number of changed keys retained for peers that lag behind.
     static constexpr auto max_changes = std::size_t{4'096};
 
+    feed_cache() = default;
+    feed_cache(const feed_cache&) = delete;
+    auto operator=(const feed_cache&) -> feed_cache& = delete;
+    ~feed_cache() = default;
+
     /// \brief Replaces the contents by a full state.
     /// \detail The differences from the earlier state are retained as changes, so that peers need
     /// no
@@ -29,7 +36,8 @@
     auto apply(const feed_page& page) -> void;
 
     /// \brief Returns the changes after a revision.
-    /// \returns The changes in the order of their revisions; nothing if some of them are no longer
+    /// \returns The newest change of each key, in the order of their revisions; nothing if some of
+    /// them are no longer
     ///          retained or the cache has no state yet.
     [[nodiscard]] auto changes_after(std::uint64_t after) const -> std::optional<feed_page>;
 
@@ -42,10 +50,14 @@
 private:
     auto retain_differences(const std::map<std::string, feed_event>& items, std::uint64_t revision)
         -> void;
+    auto retain(std::uint64_t revision, const feed_event& change) -> void;
     auto drop_oldest_changes() -> void;
 
+    using change_log = std::multimap<std::uint64_t, feed_event>;
+
     std::map<std::string, feed_event> items_;
-    std::multimap<std::uint64_t, feed_event> changes_;
+    change_log changes_;
+    std::map<std::string, change_log::iterator> newest_changes_; ///< Of each key in `changes_`.
     std::uint64_t history_start_ = 0;
     std::uint64_t revision_ = 0;
 };
--- a/src/feed/feed_cache.cpp
+++ b/src/feed/feed_cache.cpp
@@ -1,6 +1,7 @@
 #include <knapweedchute/feed/feed_cache.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace knapweedchute {
 
@@ -11,6 +12,7 @@
         retain_differences(items, revision);
     } else if (revision != revision_) {
         changes_.clear();
+        newest_changes_.clear();
         history_start_ = revision;
     }
     items_ = items;
@@ -23,22 +25,32 @@
     // Peers know the state at the earlier revision; the new one brings them all differences.
     for (const auto& [key, known] : items_) {
         if (!items.contains(key)) {
-            changes_.emplace(revision, feed_event{key, {}, revision, true});
+            retain(revision, feed_event{key, {}, revision, true});
         }
     }
     for (const auto& [key, event] : items) {
         const auto known = items_.find(key);
         if (known == items_.end() || known->second.revision != event.revision) {
-            changes_.emplace(revision, event);
+            retain(revision, event);
         }
     }
     drop_oldest_changes();
 }
 
+auto feed_cache::retain(std::uint64_t revision, const feed_event& change) -> void
+{
+    const auto added = changes_.emplace(revision, change);
+    const auto [known, first] = newest_changes_.try_emplace(change.key, added);
+    if (!first) {
+        changes_.erase(std::exchange(known->second, added));
+    }
+}
+
 auto feed_cache::drop_oldest_changes() -> void
 {
     while (changes_.size() > max_changes) {
         history_start_ = changes_.begin()->first;
+        newest_changes_.erase(changes_.begin()->second.key);
         changes_.erase(changes_.begin());
     }
 }
@@ -49,7 +61,7 @@
         if (event.revision <= revision_) {
             continue;
         }
-        changes_.emplace(event.revision, event);
+        retain(event.revision, event);
         if (event.deleted) {
             items_.erase(event.key);
         } else {
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -373,6 +373,17 @@
     BOOST_TEST(listener.completions == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(cache_retains_the_newest_change_of_each_key_only)
+{
+    auto cache = feed_cache{};
+    cache.reset({{"a", event("a", 5)}, {"c", event("c", 4)}}, 5);
+    cache.apply({{event("a", 6), event("b", 7), event("a", 8), event("b", 9, true)}, 9});
+    cache.apply({{event("c", 10, true), event("c", 11)}, 11});
+    const auto expected = std::vector{event("a", 8), event("b", 9, true), event("c", 11)};
+    BOOST_TEST((cache.changes_after(5)->events == expected));
+    BOOST_TEST(cache.changes_after(8)->events.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(cache_changes_before_the_retained_history_are_not_returned)
 {
     auto cache = feed_cache{};
