An outdated configuration doesn't deny a route

What callers saw: 404, which they don't retry, from an instance that had not heard of an added route. Cause: an instance took "not in my table" for "doesn't exist" however old its table was; keys of workspaces are judged by the age of what is known already, routes were not. Result: the new case fails in three checks with the age left out of the decision, and passes.

--- a/include/knapweedchute/feed/feed_cache.hpp
+++ b/include/knapweedchute/feed/feed_cache.hpp
@@ -25,8 +25,7 @@
 
     /// \brief Replaces the contents by a full state.
     /// \detail The differences from the earlier state are retained as changes, so that peers need
-    /// no
-    ///         full state of their own. The first state, and one that is older, discards all
+    ///         no full state of their own. The first state, and one that is older, discards all
     ///         changes.
     /// \param items    Every key with its state.
     /// \param revision Revision up to which `items` is complete.
@@ -36,9 +35,8 @@
     auto apply(const feed_page& page) -> void;
 
     /// \brief Returns the changes after a revision.
-    /// \returns The newest change of each key, in the order of their revisions; nothing if some of
-    /// them are no longer
-    ///          retained or the cache has no state yet.
+    /// \returns The newest change of each key, in the order of their revisions; nothing if some
+    ///          are no longer retained or the cache has no state yet.
     [[nodiscard]] auto changes_after(std::uint64_t after) const -> std::optional<feed_page>;
 
     /// \brief Returns the state of every key, in the order of the keys.
--- a/include/knapweedchute/relay/relay_policy.hpp
+++ b/include/knapweedchute/relay/relay_policy.hpp
@@ -38,6 +38,9 @@
     double cost_spread = 0.1;
     /// Times that a part that all its targets have rejected is sent anew, after a short delay.
     int max_rounds = 2;
+    /// Age of what is known of the configuration up to which a request without a route is answered
+    /// as such and not as "not run": a route that was added may be missing here.
+    duration max_refuse_age = duration::max();
     /// Whether requests above the capacity of the targets wait or are rejected before any part is
     /// sent.
     bool limit_concurrency = true;
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -89,6 +89,7 @@
 {
     auto policy = relay_policy{};
     policy.zone_byte_price = values.zone_byte_price;
+    policy.max_refuse_age = values.propagation_limit;
     return policy;
 }
 
--- a/src/relay/relay_start.cpp
+++ b/src/relay/relay_start.cpp
@@ -91,8 +91,11 @@
     }
     counters_->add(counter::queries_without_route);
     const auto age = configuration_age_ ? configuration_age_() : duration::zero();
+    const auto current = age && *age <= policy_.max_refuse_age;
     log_.on_no_route(request, table->version(), age, timers_->now());
-    return error_answer(status_not_found, "no route");
+    // Another instance may have the route.
+    return current ? error_answer(status_not_found, "no route")
+                   : not_run_answer("configuration out of date", duration::zero());
 }
 
 auto relay_coordinator::admit(const shared_call& call) -> void
--- a/tests/unit/relay/relay_coordinator_test.cpp
+++ b/tests/unit/relay/relay_coordinator_test.cpp
@@ -530,6 +530,31 @@
     BOOST_TEST(counters.value(counter::queries_without_route) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(relay_unknown_route_is_not_denied_by_an_outdated_configuration)
+{
+    auto age = std::optional<duration>{};
+    auto policy = relay_policy{};
+    policy.max_refuse_age = seconds{3};
+    auto subject = relay_coordinator{policy,
+                                     names,
+                                     "a",
+                                     {registry, port, timers, extras, cold, versions, counters,
+                                      memory, nullptr, nullptr, [&] { return age; }},
+                                     1};
+    const auto ask = [&](const std::string& path) {
+        answers.clear();
+        static_cast<void>(subject.start(table(true), {"GET", path, "h", {}, "", "r1", {}},
+                                        [this](auto answer) { answers.push_back(answer); }));
+        return single_answer().status;
+    };
+    BOOST_TEST(ask("/elsewhere/x") == 503U);
+    age = milliseconds{3'001};
+    BOOST_TEST(ask("/elsewhere/x") == 503U);
+    BOOST_TEST(header_value("Retry-After") == "0.00");
+    age = seconds{3};
+    BOOST_TEST(ask("/elsewhere/x") == 404U);
+}
+
 BOOST_AUTO_TEST_CASE(relay_without_configuration_is_refused_as_not_run)
 {
     static_cast<void>(coordinator.start(nullptr, {"GET", "/one/x", "h", {}, {}, "r", {}},
