Readers of a fleet are found in one pass

Cause: each choice of a source asked for every member whether it is a reader, which looks at all members each time; with more sources tried in an outage this would cost a large fleet processor time when it can least spare it. Change: store_readers sorts once. What was called history_lost_ also stands for a history that can't be taken in: it is must_read_current_ now.

--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -139,7 +139,7 @@
     duration call_began_at_{0};             ///< Start of the latest call, by the clock of ages.
     milliseconds call_wait_{0};             ///< Time after which the source answers it in any case.
     bool watching_ = false; ///< Whether a watch is in progress that nothing suspects.
-    bool history_lost_ = false;
+    bool must_read_current_ = false;
 };
 
 } // namespace knapweedchute
--- a/include/knapweedchute/membership/store_readers.hpp
+++ b/include/knapweedchute/membership/store_readers.hpp
@@ -18,6 +18,15 @@
 [[nodiscard]] auto is_store_reader(const std::vector<member>& members, const member& self,
                                    std::size_t count) -> bool;
 
+/// \brief Returns the instances that read the store for their availability zones.
+///
+/// \detail The same members for which `is_store_reader` holds, found in one pass.
+/// \param members Known instances.
+/// \param count   Readers per availability zone.
+/// \returns The serving readers, ordered by zone and name.
+[[nodiscard]] auto store_readers(const std::vector<member>& members, std::size_t count)
+    -> std::vector<member>;
+
 /// \brief Returns how many instances of each availability zone read the store.
 /// \detail All of a small fleet, where each learns a change without a detour. In a larger one, few
 ///         enough that the calls do not grow with the fleet, and enough that the loss of one leaves
--- a/src/feed/feed_source_selector.cpp
+++ b/src/feed/feed_source_selector.cpp
@@ -52,13 +52,11 @@
                                              std::size_t per_zone, time_point now) const
     -> std::vector<member>
 {
-    auto readers = std::vector<member>{};
-    for (const auto& peer : members) {
-        if (peer.instance != self.instance && peer.state == member_state::alive &&
-            !is_avoided(peer.instance, now) && is_store_reader(members, peer, per_zone)) {
-            readers.push_back(peer);
-        }
-    }
+    auto readers = store_readers(members, per_zone);
+    std::erase_if(readers, [&](const auto& peer) {
+        return peer.instance == self.instance || peer.state != member_state::alive ||
+               is_avoided(peer.instance, now);
+    });
     return readers;
 }
 
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -67,7 +67,7 @@
 
 auto feed_subscriber::read_page(const std::string& prefix, const std::string& after) -> void
 {
-    const auto allow_stale = prefix.empty() && !history_lost_;
+    const auto allow_stale = prefix.empty() && !must_read_current_;
     begin_call(milliseconds{0});
     select_source().read(prefix, after, allow_stale,
                          [this, prefix](const auto& reply) { on_page(prefix, reply); });
@@ -129,7 +129,7 @@
 
 auto feed_subscriber::finish_full_read() -> void
 {
-    history_lost_ = false;
+    must_read_current_ = false;
     auto keys = std::set<std::string>{};
     for (const auto& [key, event] : pending_items_) {
         keys.insert(key);
@@ -188,7 +188,7 @@
     watching_ = false;
     if (reply.status == feed_read_status::history_expired) {
         last_disruption_ = timers_->now();
-        history_lost_ = true;
+        must_read_current_ = true;
         read_all();
         return;
     }
@@ -196,7 +196,7 @@
         const auto failure = failure_in(reply);
         record_failure(failure);
         // The current state is smaller than its history, and its pages are bounded.
-        history_lost_ = history_lost_ || is_unusable_answer(failure);
+        must_read_current_ = must_read_current_ || is_unusable_answer(failure);
         schedule_after(retry_delay(), is_unusable_answer(failure) ? &feed_subscriber::read_all
                                                                   : &feed_subscriber::watch);
         return;
--- a/src/membership/store_readers.cpp
+++ b/src/membership/store_readers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace knapweedchute {
 namespace {
@@ -22,6 +23,31 @@
     return static_cast<std::size_t>(preceding) < count;
 }
 
+auto store_readers(const std::vector<member>& members, std::size_t count) -> std::vector<member>
+{
+    auto serving = std::vector<const member*>{};
+    for (const auto& known : members) {
+        if (known.serving()) {
+            serving.push_back(&known);
+        }
+    }
+    std::sort(serving.begin(), serving.end(), [](const auto* left, const auto* right) {
+        return std::tie(left->availability_zone, left->instance) <
+               std::tie(right->availability_zone, right->instance);
+    });
+    auto readers = std::vector<member>{};
+    auto in_zone = std::size_t{0};
+    for (auto index = std::size_t{0}; index < serving.size(); ++index) {
+        const auto same_zone =
+            index > 0 && serving[index]->availability_zone == serving[index - 1]->availability_zone;
+        in_zone = same_zone ? in_zone + 1 : 0;
+        if (in_zone < count) {
+            readers.push_back(*serving[index]);
+        }
+    }
+    return readers;
+}
+
 auto store_readers_per_zone(const std::vector<member>& members) -> std::size_t
 {
     if (!has_followers(members)) {
--- a/tests/unit/membership/store_readers_test.cpp
+++ b/tests/unit/membership/store_readers_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 using namespace knapweedchute;
 
@@ -48,6 +49,24 @@
     BOOST_TEST(readers() == 4);
 }
 
+BOOST_AUTO_TEST_CASE(store_readers_found_at_once_are_those_found_one_by_one)
+{
+    members[0].state = member_state::joining;
+    members[4].state = member_state::suspect;
+    std::reverse(members.begin(), members.end());
+    for (auto count = std::size_t{1}; count <= 4; ++count) {
+        auto expected = std::vector<member>{};
+        std::copy_if(members.begin(), members.end(), std::back_inserter(expected),
+                     [&](const auto& known) {
+                         return known.serving() && is_store_reader(members, known, count);
+                     });
+        auto found = store_readers(members, count);
+        std::sort(expected.begin(), expected.end());
+        std::sort(found.begin(), found.end());
+        BOOST_TEST((found == expected));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(store_readers_of_a_small_fleet_are_all_instances)
 {
     members.resize(max_direct_members);
