Counts of usage are stated in pieces that a peer takes in, whatever the length of names

What callers saw: nothing; a platform would get no counts of an instance whose workspaces have long names. Change: a piece is bounded by bytes too (200,000). Result: statement_of_long_names_fits_in_what_a_peer_takes_in fails before (552,055 and 276,055 bytes) and passes.

--- a/include/knapweedchute/usage/usage_statement.hpp
+++ b/include/knapweedchute/usage/usage_statement.hpp
@@ -48,9 +48,18 @@
 /// \brief Rows that fit in one statement.
 inline constexpr auto max_statement_rows = std::size_t{2'000};
 
+/// \brief Bytes of rows that fit in one statement; peers take in `caller_limits::body_bytes`.
+inline constexpr auto max_statement_bytes = std::size_t{200'000};
+
 /// \brief Maximum length in bytes of a workspace's name in a statement.
 inline constexpr auto max_workspace_name_bytes = std::size_t{256};
 
+/// \brief Returns the bytes of a row in a statement.
+[[nodiscard]] inline auto encoded_bytes(const usage_row& row) -> std::size_t
+{
+    return sizeof(std::uint32_t) + row.workspace.size() + sizeof(row.window) + sizeof(row.count);
+}
+
 template <typename Archive>
 auto save(Archive& archive, const usage_statement& value) -> void
 {
--- a/src/usage/usage_ledger.cpp
+++ b/src/usage/usage_ledger.cpp
@@ -90,7 +90,12 @@
                       changed.end(),
                       [](const auto& a, const auto& b) { return a.first < b.first; });
     auto statement = usage_statement{own_, 0, change, {}};
+    auto bytes = std::size_t{0};
     for (auto index = std::size_t{0}; index < kept; ++index) {
+        bytes += encoded_bytes(changed[index].second);
+        if (bytes > max_statement_bytes) {
+            break;
+        }
         statement.change = changed[index].first;
         statement.rows.push_back(std::move(changed[index].second));
     }
--- a/tests/unit/usage/usage_ledger_test.cpp
+++ b/tests/unit/usage/usage_ledger_test.cpp
@@ -1,5 +1,7 @@
+#include <knapweedchute/route/caller_limits.hpp>
 #include <knapweedchute/usage/usage_ledger.hpp>
 #include <knapweedchute/usage/window_clock.hpp>
+#include <knapweedchute/wire/envelope.hpp>
 
 #include <boost/test/unit_test.hpp>
 
@@ -96,6 +98,24 @@
     BOOST_TEST(known.totals(7).size() == 5'000U);
 }
 
+BOOST_AUTO_TEST_CASE(statement_of_long_names_fits_in_what_a_peer_takes_in)
+{
+    constexpr auto workspaces = 3'000;
+    const auto codec = envelope{"test", message_key{"0123456789abcdef"}};
+    auto subject = usage_ledger{{"a", 1}, std::size_t{10'000}};
+    for (auto index = 0; index < workspaces; ++index) {
+        const auto name = std::to_string(index);
+        subject.add(5, name + std::string(max_workspace_name_bytes - name.size(), 'x'));
+    }
+    auto rows = std::size_t{0};
+    for (auto piece = subject.changes_after(0); !piece.rows.empty();
+         piece = subject.changes_after(piece.change)) {
+        BOOST_TEST(codec.encode(piece).size() <= caller_limits{}.body_bytes);
+        rows += piece.rows.size();
+    }
+    BOOST_TEST(rows == static_cast<std::size_t>(workspaces));
+}
+
 BOOST_AUTO_TEST_CASE(rows_beyond_the_limit_drop_the_oldest_window)
 {
     for (auto workspace = 0; workspace < 101; ++workspace) {
