A watch that breaks in the middle of its answer still counts as a disruption

Found by reading. Change: only an answer that is complete but unreadable, or too large, is no disruption.

--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -286,9 +286,10 @@
     if (followed_peer_) {
         selector_.record_failure(followed_peer_->instance, failure, timers_->now());
     } else {
-        if (!is_unusable_answer(failure)) {
-            last_disruption_ = timers_->now();
-        }
+        // The store is well if it answers, though the answer can't be used.
+        const auto answered =
+            failure == feed_failure::too_large || failure == feed_failure::unreadable;
+        last_disruption_ = answered ? last_disruption_ : timers_->now();
         // One lost answer does not turn followers away; the store is called once more first.
         if (consecutive_failures_ > 1 || selector_.store_failed()) {
             selector_.record_store_failure(timers_->now());
--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -215,7 +215,8 @@
     timers.advance(seconds{3});
     BOOST_TEST(listener.values.contains("servers/d"));
     BOOST_TEST(!listener.values.contains("servers/a"));
-    BOOST_TEST(!listener.last_hold_until.has_value());
+    // A connection that breaks is a disruption, after which missing entries are held.
+    BOOST_TEST(listener.last_hold_until.has_value() == (failure == feed_failure::cut_short));
     const auto reads = store.reads;
     timers.advance(seconds{10});
     BOOST_TEST(store.reads == reads);
