A watch's answer without events doesn't move the next watch on

Cause: the revision of an answer was taken as the place to go on from whatever the answer held. A store that hears of no changes for a while and states its own revision at the end of a watch's wait would make an instance pass them over, until the next version. No store was seen that answers so: only suspected.

--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -104,6 +104,18 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(watch_without_events_passes_over_no_revision)
+{
+    for (const auto* empty : {R"({"asOf":9,"events":[]})", R"({"asOf":9})"}) {
+        body = empty;
+        const auto reply = watch();
+        BOOST_TEST((reply.status == feed_read_status::done));
+        BOOST_TEST(reply.page.revision == 1U);
+    }
+    body = R"({"asOf":9,"items":[]})";
+    BOOST_TEST(read().page.revision == 9U);
+}
+
 BOOST_AUTO_TEST_CASE(page_that_is_no_page_has_failed)
 {
     for (const auto* odd :
