Soak: the store turns instances away, rows of large versions, up to 48 instances

Each instance now has a gate to the store, found by the process that opened the connection, as instances of one deployment call one address. Drawn: gates closed for 0.3 to 4 s, and rows of up to 25 versions of 900 kB, 60 ms apart. In the calm part all instances but one or a few are turned away for 7 s with a version every 0.5 s, and each must serve a version 3.5 s after it was written at the latest. `--entries` sets the number of instances; above twelve all share one gate, as finding the process of a connection then takes long.

--- a/tests/soak/entry_process.hpp
+++ b/tests/soak/entry_process.hpp
@@ -33,10 +33,16 @@
     /// \brief Descriptors that it has open now; 0 if it does not run.
     [[nodiscard]] auto open_descriptors() const -> std::size_t;
 
+    /// \brief Whether it has a socket open.
+    /// \param inode Number of the socket, as the system's table of connections states it.
+    [[nodiscard]] auto owns_socket(const std::string& inode) const -> bool;
+
     /// \brief Exit code of the latest end by itself, or the negative of the signal that ended it.
     [[nodiscard]] auto exit_code() const noexcept -> int { return exit_code_; }
 
 private:
+    [[nodiscard]] auto descriptor_folder() const -> std::string;
+
     std::string program_;
     std::string settings_;
     std::string log_;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -19,6 +19,8 @@
     app.add_option("--seed", options.seed, "Seed of everything that is drawn");
     app.add_option("--seconds", seconds_of_faults, "How long faults are drawn")
         ->check(CLI::Range(1, 3'600));
+    app.add_option("--entries", options.entries, "Number of entry daemons")
+        ->check(CLI::Range(2, 48));
     app.add_flag("--endless", options.endless,
                  "Targets that send answers without end in place of drawn faults");
     CLI11_PARSE(app, argc, argv);
--- a/tests/soak/store_stand_in.hpp
+++ b/tests/soak/store_stand_in.hpp
@@ -81,4 +81,23 @@
     std::uint64_t next_ = 1;
 };
 
+/// \brief One instance's access to the store, which may turn it away while it serves others.
+class store_gate final : public request_handler
+{
+public:
+    explicit store_gate(store_stand_in& store) : store_{&store} {}
+
+    /// \brief Whether calls are passed on; a closed gate also refuses the waiting ones when their
+    ///        answers are due.
+    auto set_open(bool open) -> void { open_ = open; }
+
+    auto handle(relayed_request request, responder respond) -> std::uint64_t override;
+    auto cancel(std::uint64_t request) -> void override { store_->cancel(request); }
+    [[nodiscard]] auto limits() const -> caller_limits override { return store_->limits(); }
+
+private:
+    store_stand_in* store_;
+    bool open_ = true;
+};
+
 } // namespace knapweedchute::soak
