--- a/tests/soak/store_front.cpp
+++ b/tests/soak/store_front.cpp
@@ -89,16 +89,15 @@
                     self->close();
                     return;
                 }
-                boost::asio::async_write(
-                    self->ends_.at(1 - end),
-                    boost::asio::buffer(self->buffers_.at(end).data(), bytes),
-                    [self, end](const error_code& write_failure, std::size_t) {
-                        if (write_failure) {
-                            self->close();
-                            return;
-                        }
-                        self->pass_on(end);
-                    });
+                boost::asio::async_write(self->ends_.at(1 - end),
+                                         boost::asio::buffer(self->buffers_.at(end).data(), bytes),
+                                         [self, end](const error_code& write_failure, std::size_t) {
+                                             if (write_failure) {
+                                                 self->close();
+                                                 return;
+                                             }
+                                             self->pass_on(end);
+                                         });
             });
     }
 
@@ -145,9 +144,8 @@
         return;
     }
     const auto inode = remote_socket(from);
-    const auto owner = std::find_if(instances_.begin(), instances_.end(), [&](const auto& one) {
-        return one.first->owns_socket(inode);
-    });
+    const auto owner = std::find_if(instances_.begin(), instances_.end(),
+                                    [&](const auto& one) { return one.first->owns_socket(inode); });
     if (owner != instances_.end()) {
         std::make_shared<joined_connections>(std::move(from), socket{*loop_})->start(owner->second);
     }
