--- a/tests/soak/soak_calm.cpp
+++ b/tests/soak/soak_calm.cpp
@@ -19,7 +19,7 @@
 /// A confirmed version is in force after 3 s; a request of a caller ends within half a second more.
 constexpr auto change_interval = milliseconds{500};
 constexpr auto changes_in_bound = std::uint64_t{6};
-constexpr auto changes_while_away = std::uint64_t{14};
+constexpr auto changes_while_refused = std::uint64_t{14};
 constexpr auto observed_for = seconds{2};
 /// Share of good answers in calm seconds.
 constexpr auto served_share = 0.98;
@@ -46,7 +46,7 @@
     pass(recovery_bound);
     expect_served("after the faults");
     expect_newest_everywhere();
-    turn_most_away();
+    refuse_most_instances();
     restart_beside_odd_entries();
     take_zone_out();
     move_version();
@@ -115,13 +115,13 @@
     }
 }
 
-auto soak_world::turn_most_away() -> void
+auto soak_world::refuse_most_instances() -> void
 {
     const auto served = drawn(store_accesses_.size());
     for (auto index = std::size_t{0}; index < store_accesses_.size(); ++index) {
         store_accesses_.at(index)->gate.set_open(index == served || drawn(4) == 0);
     }
-    for (auto changes = std::uint64_t{1}; changes <= changes_while_away; ++changes) {
+    for (auto changes = std::uint64_t{1}; changes <= changes_while_refused; ++changes) {
         change_configuration();
         pass(change_interval);
         if (changes > changes_in_bound) {
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -31,7 +31,7 @@
                    drawn_fault{"version", &soak_world::change_configuration},
                    drawn_fault{"version", &soak_world::change_configuration},
                    drawn_fault{"large", &soak_world::enlarge_configuration},
-                   drawn_fault{"away", &soak_world::turn_instances_away}};
+                   drawn_fault{"refused", &soak_world::refuse_instances}};
     if (!faulty_) {
         return;
     }
@@ -115,7 +115,7 @@
     }
 }
 
-auto soak_world::turn_instances_away() -> void
+auto soak_world::refuse_instances() -> void
 {
     for (const auto& access : store_accesses_) {
         access->gate.set_open(drawn(2) == 0);
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -76,7 +76,7 @@
     store_.set_page_size(page_size);
     const auto store_address = address{network_ | store_host, port};
     if (has_gates()) {
-        store_front_.emplace(loop_, store_address);
+        store_proxy_.emplace(loop_, store_address);
     } else {
         add_store_access(store_address);
     }
@@ -254,11 +254,11 @@
     write_settings(settings, name, zone, ip);
     entries_.push_back(std::make_unique<entry_process>(options_.program, settings.string(),
                                                        (options_.work / (name + ".log")).string()));
-    if (store_front_) {
+    if (store_proxy_) {
         const auto listener =
             address{network_ | store_host, static_cast<std::uint16_t>(port + 1 + index)};
         add_store_access(listener);
-        store_front_->add_instance(*entries_.back(), listener);
+        store_proxy_->add_instance(*entries_.back(), listener);
     }
     entries_.back()->start();
     lifetimes_.push_back(1);
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -3,7 +3,7 @@
 #include "answer_checker.hpp"
 #include "endless_targets.hpp"
 #include "entry_process.hpp"
-#include "store_front.hpp"
+#include "store_proxy.hpp"
 #include "store_stand_in.hpp"
 #include "target_stand_in.hpp"
 
@@ -128,7 +128,7 @@
     auto change_configuration() -> void;
     auto enlarge_configuration() -> void;
     auto write_large_configurations(std::size_t count) -> void;
-    auto turn_instances_away() -> void;
+    auto refuse_instances() -> void;
     /// @}
 
     /// \name The calm part
@@ -137,7 +137,7 @@
     auto expect_served(const std::string& when) -> void;
     auto expect_newest_everywhere() -> void;
     auto expect_everywhere(std::uint64_t version) -> void;
-    auto turn_most_away() -> void;
+    auto refuse_most_instances() -> void;
     auto restart_beside_odd_entries() -> void;
     auto take_zone_out() -> void;
     auto move_version() -> void;
@@ -157,7 +157,7 @@
     asio_timer_queue timers_{loop_};
     header_names names_;
     store_stand_in store_{timers_};
-    std::optional<store_front> store_front_;
+    std::optional<store_proxy> store_proxy_;
     std::vector<std::unique_ptr<store_access>> store_accesses_;
     run_counts runs_;
     std::vector<placed_target> targets_;
--- a/tests/soak/store_front.cpp
+++ b/tests/soak/store_proxy.cpp
@@ -1,4 +1,4 @@
-#include "store_front.hpp"
+#include "store_proxy.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -33,12 +33,13 @@
     return text.str();
 }
 
-/// Finds the socket at the other end of a connection within this machine; empty if there is none.
-auto remote_socket(const tcp::socket& connection) -> std::string
+/// Finds the inode of the socket at one end of a connection within this machine.
+/// \returns The inode; empty if there is no such connection.
+auto inode_of(const tcp::endpoint& own_end, const tcp::endpoint& other_end) -> std::string
 {
     constexpr auto columns_before_inode = 6;
-    const auto wanted_local = table_entry(connection.remote_endpoint());
-    const auto wanted_remote = table_entry(connection.local_endpoint());
+    const auto wanted_local = table_entry(own_end);
+    const auto wanted_remote = table_entry(other_end);
     auto table = std::ifstream{"/proc/net/tcp"};
     for (auto line = std::string{}; std::getline(table, line);) {
         auto columns = std::istringstream{line};
@@ -59,11 +60,11 @@
     return "";
 }
 
-/// Two connections whose bytes are passed on to each other until one of them ends.
-class joined_connections final : public std::enable_shared_from_this<joined_connections>
+/// Passes bytes on between two connections until one of them ends.
+class proxied_connection final : public std::enable_shared_from_this<proxied_connection>
 {
 public:
-    joined_connections(tcp::socket from, tcp::socket to) : ends_{std::move(from), std::move(to)} {}
+    proxied_connection(tcp::socket from, tcp::socket to) : ends_{std::move(from), std::move(to)} {}
 
     auto start(const address& where) -> void
     {
@@ -73,13 +74,13 @@
                                        self->close();
                                        return;
                                    }
-                                   self->pass_on(0);
-                                   self->pass_on(1);
+                                   self->forward(0);
+                                   self->forward(1);
                                });
     }
 
 private:
-    auto pass_on(std::size_t end) -> void
+    auto forward(std::size_t end) -> void
     {
         auto& buffer = buffers_.at(end);
         ends_.at(end).async_read_some(
@@ -96,7 +97,7 @@
                                                  self->close();
                                                  return;
                                              }
-                                             self->pass_on(end);
+                                             self->forward(end);
                                          });
             });
     }
@@ -115,39 +116,39 @@
 
 } // namespace
 
-store_front::store_front(boost::asio::io_context& loop, const address& where)
+store_proxy::store_proxy(boost::asio::io_context& loop, const address& where)
     : loop_{&loop}, acceptor_{loop, endpoint_of(where)}
 {
     accept();
 }
 
-auto store_front::add_instance(const entry_process& process, const address& listener) -> void
+auto store_proxy::add_instance(const entry_process& process, const address& listener) -> void
 {
     instances_.emplace_back(&process, listener);
 }
 
-auto store_front::accept() -> void
+auto store_proxy::accept() -> void
 {
     acceptor_.async_accept([this](const error_code& failure, socket from) {
         if (!failure) {
-            join(std::move(from));
+            connect_to_listener(std::move(from));
         }
         accept();
     });
 }
 
-auto store_front::join(socket from) -> void
+auto store_proxy::connect_to_listener(socket from) -> void
 {
     auto gone = error_code{};
-    from.remote_endpoint(gone);
+    const auto instance_end = from.remote_endpoint(gone);
     if (gone) {
         return;
     }
-    const auto inode = remote_socket(from);
+    const auto inode = inode_of(instance_end, acceptor_.local_endpoint());
     const auto owner = std::find_if(instances_.begin(), instances_.end(),
                                     [&](const auto& one) { return one.first->owns_socket(inode); });
     if (owner != instances_.end()) {
-        std::make_shared<joined_connections>(std::move(from), socket{*loop_})->start(owner->second);
+        std::make_shared<proxied_connection>(std::move(from), socket{*loop_})->start(owner->second);
     }
 }
 
--- a/tests/soak/store_front.hpp
+++ b/tests/soak/store_proxy.hpp
@@ -12,13 +12,13 @@
 
 namespace knapweedchute::soak {
 
-/// \brief The address at which all instances call the store: each connection is joined to the
-///        listener that serves the instance which opened it.
-class store_front
+/// \brief Accepts connections at the address of the store and forwards each to the listener of the
+///        instance that opened it, as all instances of a deployment call the same address.
+class store_proxy
 {
 public:
     /// \throws boost::system::system_error if the address can't be opened.
-    store_front(boost::asio::io_context& loop, const address& where);
+    store_proxy(boost::asio::io_context& loop, const address& where);
 
     /// \brief Names the listener of an instance.
     /// \param process The instance; must outlive this object.
@@ -28,7 +28,7 @@
     using socket = boost::asio::ip::tcp::socket;
 
     auto accept() -> void;
-    auto join(socket from) -> void;
+    auto connect_to_listener(socket from) -> void;
 
     boost::asio::io_context* loop_;
     boost::asio::ip::tcp::acceptor acceptor_;
