--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -271,12 +271,16 @@
         return;
     }
     failure_logged_at_ = now;
-    log_line.warning(first ? "Source lost." : "Source still lost.",
-                     {{"revision", std::to_string(cache_.revision())},
-                      {"from", followed_peer_ ? followed_peer_->instance : "store"},
-                      {"reason", std::string{to_string(failure)}},
-                      {"losses", std::to_string(consecutive_failures_ + 1)},
-                      {"age_ms", age_text()}});
+    const logger::fields fields = {{"revision", std::to_string(cache_.revision())},
+                                   {"from", followed_peer_ ? followed_peer_->instance : "store"},
+                                   {"reason", std::string{to_string(failure)}},
+                                   {"losses", std::to_string(consecutive_failures_ + 1)},
+                                   {"age_ms", age_text()}};
+    if (first) {
+        log_line.warning("Source lost.", fields);
+    } else {
+        log_line.warning("Source still lost.", fields);
+    }
 }
 
 auto feed_subscriber::record_failure(feed_failure failure) -> void
