--- a/tests/soak/soak_calm.cpp
+++ b/tests/soak/soak_calm.cpp
@@ -108,7 +108,7 @@
 {
     for (auto index = std::size_t{0}; index < entries_.size(); ++index) {
         const auto seen = checker_.seen(index, lifetimes_.at(index));
-        if (seen < version) {
+        if (seen < version || seen > version_) {
             faults_.push_back("instance " + std::to_string(index) + " shows version " +
                               std::to_string(seen) + " of " + std::to_string(version));
         }
