--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -61,7 +61,7 @@
         bool listed = true;
     };
 
-    /// \brief How one instance reaches the store.
+    /// \brief How one instance reaches the store, or all of them if there are many.
     struct store_access
     {
         store_access(store_stand_in& store, boost::asio::io_context& loop, timer_queue& timers,
