--- a/review/stand_ins_2/stopped.cpp
+++ b/review/stand_ins_2/stopped.cpp
@@ -84,6 +84,7 @@
             front.kill_now();
             leave(2);
         }
+        sleep_ms(4'500); // Longer than stableWindowMs, 4,000.
         auto threads = std::vector<std::thread>{};
         for (auto who = 0; who < consumers; ++who) {
             threads.emplace_back(consume, round, who);
