A header of any length within the limit is served, where a long one ended the process

Callers saw: with maxHeaderBytes raised, one request with a header or a header's name of 65,534 bytes or more ended the process that read it (SIGABRT), with all requests in progress there.

Cause: the HTTP library keeps headers in a container of its own whose lengths are 16 bits; it throws std::length_error above 65,533 bytes. The throw leaves the parser, the session's handler and the event loop. The limit that the configuration names was handed to the library, which can't keep it.

Change: impl::message_parser takes what the library's grammar finds into values of this project, strings without such a bound; sessions of callers and connections to targets use it. The throw has no place any more, so nothing has to catch it, and headers are no longer copied a second time.

--- a/include/knapweedchute/net/caller_session.hpp
+++ b/include/knapweedchute/net/caller_session.hpp
@@ -3,7 +3,7 @@
 #include <knapweedchute/core/memory_budget.hpp>
 #include <knapweedchute/core/memory_reservation.hpp>
 #include <knapweedchute/net/caller_guard.hpp>
-#include <knapweedchute/net/impl/http_library.hpp>
+#include <knapweedchute/net/impl/message_parser.hpp>
 #include <knapweedchute/net/request_handler.hpp>
 #include <knapweedchute/relay/header_names.hpp>
 #include <knapweedchute/relay/timer_queue.hpp>
@@ -58,7 +58,7 @@
     auto close_if_idle() -> void;
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using parser = impl::message_parser<true>;
 
     /// \brief The event that the session waits for.
     enum class stage
--- a/include/knapweedchute/net/target_connection.hpp
+++ b/include/knapweedchute/net/target_connection.hpp
@@ -2,7 +2,7 @@
 
 #include <knapweedchute/core/memory_budget.hpp>
 #include <knapweedchute/core/memory_reservation.hpp>
-#include <knapweedchute/net/impl/http_library.hpp>
+#include <knapweedchute/net/impl/message_parser.hpp>
 #include <knapweedchute/relay/exchange_port.hpp>
 #include <knapweedchute/relay/header_names.hpp>
 
@@ -54,7 +54,7 @@
     [[nodiscard]] auto idle_limit() const noexcept -> std::optional<seconds> { return idle_limit_; }
 
 private:
-    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using parser = impl::message_parser<false>;
 
     auto begin(exchange_order order, exchange_port::listener done) -> void;
     auto write() -> void;
--- a/include/knapweedchute/relay/http_field.hpp
+++ b/include/knapweedchute/relay/http_field.hpp
@@ -25,7 +25,21 @@
 [[nodiscard]] auto find_field(const field_list& fields, std::string_view name) noexcept
     -> const http_field*;
 
+/// \brief Returns the value of the first header with a name, or an empty text.
+[[nodiscard]] auto field_value(const field_list& fields, std::string_view name) noexcept
+    -> std::string_view;
+
+/// \brief Removes all headers with a name.
+auto remove_field(field_list& fields, std::string_view name) -> void;
+
+/// \brief Returns a text without the blanks and tabs around it.
+[[nodiscard]] auto without_blanks(std::string_view text) noexcept -> std::string_view;
+
 /// \brief Removes the hop-by-hop headers, including those listed in `Connection`.
 auto remove_connection_fields(field_list& fields) -> void;
 
+/// \brief Removes what belongs to one message on one connection: its length and the hop-by-hop
+///        headers.
+auto remove_message_fields(field_list& fields) -> void;
+
 } // namespace knapweedchute
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -1,5 +1,3 @@
-#include "message_fields.hpp"
-
 #include <knapweedchute/net/answer_encoder.hpp>
 #include <knapweedchute/net/caller_session.hpp>
 #include <knapweedchute/relay/refusal_answer.hpp>
@@ -187,7 +185,7 @@
     }
     if (stage_ == stage::body) {
         body_wire_bytes_ += consumed;
-        const auto framing_bytes = body_wire_bytes_ - parser_->get().body().size();
+        const auto framing_bytes = body_wire_bytes_ - parser_->message().body.size();
         const auto unfinished_bytes = failure ? input_.size() : std::size_t{0};
         if (guard_ != nullptr &&
             (framing_too_dear(framing_bytes, limits_) || unfinished_bytes > limits_.header_bytes)) {
@@ -203,9 +201,7 @@
     }
     if (parser_->is_header_done()) {
         if (stage_ == stage::header &&
-            same_name(std::string_view{parser_->get()[http::field::expect].data(),
-                                       parser_->get()[http::field::expect].size()},
-                      "100-continue")) {
+            same_name(field_value(parser_->message().fields, "Expect"), "100-continue")) {
             static const auto continue_response = std::string{"HTTP/1.1 100 Continue\r\n\r\n"};
             boost::asio::async_write(socket_, boost::asio::buffer(continue_response),
                                      [self = shared_from_this()](const auto&, std::size_t) {});
@@ -219,10 +215,9 @@
 
 auto caller_session::begin_body() -> void
 {
-    const auto stated = parser_->get()[names_->deadline];
+    const auto stated = field_value(parser_->message().fields, names_->deadline);
     const auto longest = guard_ != nullptr ? guard_->bounds().body_time : caller_bounds{}.body_time;
-    body_ends_ =
-        timers_->now() + body_time(read_deadline({stated.data(), stated.size()}), limits_, longest);
+    body_ends_ = timers_->now() + body_time(read_deadline(stated), limits_, longest);
     body_wire_bytes_ = 0;
     enter_stage(stage::body);
 }
@@ -242,7 +237,7 @@
     if (stage_ == stage::body) {
         const auto promised = parser_->content_length();
         bytes += std::max<std::size_t>(promised ? static_cast<std::size_t>(*promised) : 0,
-                                       parser_->get().body().capacity());
+                                       parser_->message().body.capacity());
     }
     // Larger answers are in the account of answers.
     bytes += output_.capacity() < memory_reservation::min_reserved ? output_.capacity() : 0;
@@ -279,10 +274,13 @@
 auto caller_session::on_request() -> void
 {
     constexpr auto bad_request = 400U;
-    const auto& parsed = parser_->get();
-    const auto close = !parsed.keep_alive();
-    head_only_ = parsed.method() == http::verb::head;
-    if (parsed.count(http::field::host) != 1) {
+    const auto& parsed = parser_->message();
+    const auto close = !parser_->keep_alive();
+    head_only_ = parsed.method == "HEAD";
+    const auto hosts =
+        std::count_if(parsed.fields.begin(), parsed.fields.end(),
+                      [](const auto& field) { return same_name(field.name, "Host"); });
+    if (hosts != 1) {
         respond(error_answer(bad_request, "exactly one Host expected"), true);
         return;
     }
@@ -308,19 +306,17 @@
 {
     auto message = parser_->release();
     auto request = relayed_request{};
-    request.method = std::string{message.method_string()};
-    request.target = std::string{message.target()};
-    request.host = std::string{message[http::field::host]};
-    request.id = std::string{message[names_->request_id]};
-    const auto deadline_text = message[names_->deadline];
-    if (const auto deadline = read_deadline({deadline_text.data(), deadline_text.size()})) {
-        request.deadline = *deadline;
-    }
-    message.erase(http::field::host);
-    message.erase(names_->deadline);
-    message.erase(names_->expected_target);
-    request.fields = impl::forwarded_fields(message.base());
-    request.body = std::move(message.body());
+    request.method = std::move(message.method);
+    request.target = std::move(message.target);
+    request.host = field_value(message.fields, "Host");
+    request.id = field_value(message.fields, names_->request_id);
+    request.deadline = read_deadline(field_value(message.fields, names_->deadline));
+    remove_field(message.fields, "Host");
+    remove_field(message.fields, names_->deadline);
+    remove_field(message.fields, names_->expected_target);
+    remove_message_fields(message.fields);
+    request.fields = std::move(message.fields);
+    request.body = std::move(message.body);
     return request;
 }
 
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -1,5 +1,3 @@
-#include "message_fields.hpp"
-
 #include <knapweedchute/net/answer_grammar.hpp>
 #include <knapweedchute/net/target_connection.hpp>
 
@@ -134,7 +132,7 @@
 auto target_connection::reserve_memory() -> void
 {
     if (memory_ && done_) {
-        memory_->resize(parser_->get().body().capacity());
+        memory_->resize(parser_->message().body.capacity());
     }
 }
 
@@ -190,11 +188,10 @@
 auto target_connection::has_valid_head() const -> bool
 {
     // Requests ask for no transfer coding, and the parser decodes chunks only.
-    const auto& message = parser_->get();
-    const auto coding = message.find(http::field::transfer_encoding);
-    const auto decoded = coding == message.end() ||
-                         same_name({coding->value().data(), coding->value().size()}, "chunked");
-    return decoded && is_defined_status(message.result_int());
+    const auto& message = parser_->message();
+    const auto* const coding = find_field(message.fields, "Transfer-Encoding");
+    const auto decoded = coding == nullptr || same_name(coding->value, "chunked");
+    return decoded && is_defined_status(message.status);
 }
 
 auto target_connection::unparsed_input() const -> std::string_view
@@ -221,16 +218,17 @@
 auto target_connection::on_answer() -> void
 {
     read_idle_limit();
+    const auto keep_alive = parser_->keep_alive();
     auto message = parser_->release();
-    const auto status = message.result_int();
+    const auto status = message.status;
     if (status < first_final_status) {
         interim_answers_ += 1;
         reset_parser();
         return;
     }
-    const auto answer_request_id = message.find(names_->request_id);
-    const auto has_id = answer_request_id != message.end();
-    if (has_id && !order_.request_id.empty() && answer_request_id->value() != order_.request_id) {
+    const auto* const answer_request_id = find_field(message.fields, names_->request_id);
+    const auto has_id = answer_request_id != nullptr;
+    if (has_id && !order_.request_id.empty() && answer_request_id->value != order_.request_id) {
         // Skips an answer to another request; the expected answer may still follow.
         reusable_ = false;
         reset_parser();
@@ -242,16 +240,17 @@
     }
     // A late copy of an answer without an id could not be told from the next answer.
     reusable_ = reusable_ && (has_id || !order_.answers_have_ids);
-    reusable_ = reusable_ && message.keep_alive() && written_ && input_.size() == 0;
+    reusable_ = reusable_ && keep_alive && written_ && input_.size() == 0;
     auto result = exchange_result{};
     result.status = exchange_status::answered;
-    if (message.find(names_->not_run) != message.end()) {
+    if (find_field(message.fields, names_->not_run) != nullptr) {
         result.status = exchange_status::not_run;
     }
     if (status == status_wrong_target) {
         result.status = exchange_status::wrong_target;
     }
-    result.answer = {status, impl::forwarded_fields(message.base()), std::move(message.body())};
+    remove_message_fields(message.fields);
+    result.answer = {status, std::move(message.fields), std::move(message.body)};
     finish(std::move(result));
 }
 
@@ -262,12 +261,12 @@
 
 auto target_connection::read_idle_limit() -> void
 {
-    const auto field = parser_->get().find(http::field::keep_alive);
-    if (field == parser_->get().end()) {
+    const auto* const field = find_field(parser_->message().fields, "Keep-Alive");
+    if (field == nullptr) {
         return;
     }
     constexpr auto key = std::string_view{"timeout="};
-    const auto text = std::string{field->value()};
+    const auto& text = field->value;
     const auto begin = text.find(key);
     auto limit = 0;
     if (begin != std::string::npos) {
--- a/src/relay/http_field.cpp
+++ b/src/relay/http_field.cpp
@@ -29,6 +29,27 @@
     return found == fields.end() ? nullptr : &*found;
 }
 
+auto field_value(const field_list& fields, std::string_view name) noexcept -> std::string_view
+{
+    const auto* const found = find_field(fields, name);
+    return found == nullptr ? std::string_view{} : std::string_view{found->value};
+}
+
+auto remove_field(field_list& fields, std::string_view name) -> void
+{
+    std::erase_if(fields, [&](const auto& field) { return same_name(field.name, name); });
+}
+
+auto without_blanks(std::string_view text) noexcept -> std::string_view
+{
+    constexpr auto blanks = std::string_view{" \t"};
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
 auto remove_connection_fields(field_list& fields) -> void
 {
     auto named = std::vector<std::string>{};
@@ -49,4 +70,10 @@
     });
 }
 
+auto remove_message_fields(field_list& fields) -> void
+{
+    remove_field(fields, "content-length");
+    remove_connection_fields(fields);
+}
+
 } // namespace knapweedchute
