Trailers and chunk heads have a limit at each address, however they arrive

Callers and operators saw: one POST with a chunked body and a trailer field of 65,534 to 66,000 bytes to the readiness, the control or the peer address ended the process, at the limits of the site; longer ones lost the connection without an answer, shorter ones were accepted beyond the limit of a header.

The library's limit of a header holds for the head only; the session bounded what waits unparsed, but only where callers have a guard, and not what arrives as a whole.

Change: the parser itself refuses chunk heads and trailers beyond the limit of a header, for callers, own addresses and targets; a session answers 400, counted as before where there is a guard.

--- a/include/knapweedchute/net/caller_session.hpp
+++ b/include/knapweedchute/net/caller_session.hpp
@@ -83,6 +83,7 @@
     [[nodiscard]] auto body_wait() const -> duration;
     auto parse_next() -> bool;
     auto on_parse_error(const boost::system::error_code& failure) -> void;
+    auto on_framing_too_dear() -> void;
     auto on_request() -> void;
     auto respond(const relayed_answer& answer, bool close) -> void;
     auto on_written(bool close) -> void;
--- a/include/knapweedchute/net/impl/message_parser.hpp
+++ b/include/knapweedchute/net/impl/message_parser.hpp
@@ -3,11 +3,22 @@
 #include <knapweedchute/net/impl/http_library.hpp>
 #include <knapweedchute/relay/http_field.hpp>
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace knapweedchute::impl {
 
+/// \brief Bounds of one HTTP message.
+struct message_limits
+{
+    std::size_t header_bytes = 0; ///< The head; and each chunk head, and all trailers together.
+    std::size_t body_bytes = 0;   ///< Body after decoding.
+};
+
 /// \brief One HTTP message as it was received.
 struct parsed_message
 {
@@ -20,11 +31,38 @@
 
 /// \brief Parses one HTTP message with the library's grammar into a value of this project.
 /// \detail The library's own container of headers throws `std::length_error` for a name or a value
-///         of more than 65,533 bytes. Here only the limits of the parser bound a header.
+///         of more than 65,533 bytes. Here only the limits of the parser bound a header. They bound
+///         chunk heads and trailers, too, which the library's limit of the header leaves out.
 template <bool IsRequest>
 class message_parser final : public boost::beast::http::basic_parser<IsRequest>
 {
+    using base = boost::beast::http::basic_parser<IsRequest>;
+
 public:
+    explicit message_parser(const message_limits& limits) : limits_{limits}
+    {
+        constexpr auto max_limit = std::size_t{std::numeric_limits<std::uint32_t>::max()};
+        base::header_limit(static_cast<std::uint32_t>(std::min(limits.header_bytes, max_limit)));
+        base::body_limit(limits.body_bytes);
+        // An eager parser goes on to the body although the header has exceeded the body limit.
+        base::eager(false);
+    }
+
+    /// \brief Parses what follows the bytes consumed so far.
+    /// \param input   Received bytes that were not consumed yet.
+    /// \param failure `need_more` if a head, chunk head or trailer section is incomplete;
+    ///                `header_limit` if it exceeds the limit; otherwise as the library sets it.
+    /// \returns Bytes consumed.
+    auto put(boost::asio::const_buffer input, boost::beast::error_code& failure) -> std::size_t
+    {
+        const auto consumed = base::put(input, failure);
+        if (failure == boost::beast::http::error::need_more &&
+            input.size() - consumed > limits_.header_bytes) {
+            failure = boost::beast::http::error::header_limit;
+        }
+        return consumed;
+    }
+
     [[nodiscard]] auto message() const noexcept -> const parsed_message& { return message_; }
 
     /// \brief Hands over the message; the parser may only be destroyed after it.
@@ -48,8 +86,16 @@
     }
 
     auto on_field_impl(boost::beast::http::field /*known*/, string_view name, string_view value,
-                       error_code& /*failure*/) -> void override
+                       error_code& failure) -> void override
     {
+        constexpr auto separators = std::string_view{": \r\n"}.size();
+        if (this->is_header_done()) {
+            trailer_bytes_ += name.size() + value.size() + separators;
+            if (trailer_bytes_ > limits_.header_bytes) {
+                failure = boost::beast::http::error::header_limit;
+                return;
+            }
+        }
         message_.fields.push_back(
             {std::string{name}, std::string{without_blanks({value.data(), value.size()})}});
     }
@@ -72,9 +118,12 @@
         return bytes.size();
     }
 
-    auto on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
-                              error_code& /*failure*/) -> void override
+    auto on_chunk_header_impl(std::uint64_t /*size*/, string_view extensions, error_code& failure)
+        -> void override
     {
+        if (extensions.size() > limits_.header_bytes) {
+            failure = boost::beast::http::error::header_limit;
+        }
     }
 
     auto on_chunk_body_impl(std::uint64_t /*remaining*/, string_view bytes, error_code& failure)
@@ -85,7 +134,9 @@
 
     auto on_finish_impl(error_code& /*failure*/) -> void override {}
 
+    message_limits limits_;
     parsed_message message_;
+    std::size_t trailer_bytes_ = 0;
 };
 
 } // namespace knapweedchute::impl
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -91,11 +91,7 @@
 auto caller_session::reset_parser() -> void
 {
     limits_ = handler_->limits();
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
-    parser_->body_limit(limits_.body_bytes);
-    // An eager parser goes on to the body although the header has exceeded the body limit.
-    parser_->eager(false);
+    parser_.emplace(impl::message_limits{limits_.header_bytes, limits_.body_bytes});
 }
 
 auto caller_session::read() -> void
@@ -179,22 +175,18 @@
     auto failure = boost::system::error_code{};
     const auto consumed = parser_->put(input_.data(), failure);
     input_.consume(consumed);
-    if (failure && failure != http::error::need_more) {
-        on_parse_error(failure);
-        return false;
-    }
     if (stage_ == stage::body) {
         body_wire_bytes_ += consumed;
         const auto framing_bytes = body_wire_bytes_ - parser_->message().body.size();
-        const auto unfinished_bytes = failure ? input_.size() : std::size_t{0};
-        if (guard_ != nullptr &&
-            (framing_too_dear(framing_bytes, limits_) || unfinished_bytes > limits_.header_bytes)) {
-            constexpr auto bad_request = 400U;
-            guard_->count(caller_end::framing);
-            respond(error_answer(bad_request, "chunks cost far more than they carry"), true);
+        if (failure == http::error::header_limit || framing_too_dear(framing_bytes, limits_)) {
+            on_framing_too_dear();
             return false;
         }
     }
+    if (failure && failure != http::error::need_more) {
+        on_parse_error(failure);
+        return false;
+    }
     if (parser_->is_done()) {
         on_request();
         return true;
@@ -271,6 +263,15 @@
     }
 }
 
+auto caller_session::on_framing_too_dear() -> void
+{
+    constexpr auto bad_request = 400U;
+    if (guard_ != nullptr) {
+        guard_->count(caller_end::framing);
+    }
+    respond(error_answer(bad_request, "chunks cost far more than they carry"), true);
+}
+
 auto caller_session::on_request() -> void
 {
     constexpr auto bad_request = 400U;
--- a/src/net/target_connection.cpp
+++ b/src/net/target_connection.cpp
@@ -75,10 +75,7 @@
 
 auto target_connection::reset_parser() -> void
 {
-    parser_.emplace();
-    parser_->body_limit(order_.max_answer_bytes);
-    // An eager parser goes on to the body although the header has exceeded the body limit.
-    parser_->eager(false);
+    parser_.emplace(impl::message_limits{max_unparsed_bytes, order_.max_answer_bytes});
     parser_->skip(!order_.body_expected);
 }
 
--- a/tests/unit/net/long_field_test.cpp
+++ b/tests/unit/net/long_field_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <string>
 #include <thread>
 
@@ -19,6 +20,8 @@
 class field_bytes_handler final : public request_handler
 {
 public:
+    explicit field_bytes_handler(const caller_limits& limits) : limits_{limits} {}
+
     auto handle(relayed_request request, responder respond) -> std::uint64_t override
     {
         auto bytes = std::size_t{0};
@@ -29,57 +32,96 @@
         return 0;
     }
     auto cancel(std::uint64_t) -> void override {}
-    [[nodiscard]] auto limits() const -> caller_limits override { return {header_bytes}; }
+    [[nodiscard]] auto limits() const -> caller_limits override { return limits_; }
 
-    static constexpr auto header_bytes = std::size_t{262'144};
+private:
+    caller_limits limits_;
 };
 
-struct long_field_fixture
+/// One address that answers.
+class open_address
 {
-    boost::asio::io_context loop;
-    asio_timer_queue timers{loop};
-    field_bytes_handler handler;
-    caller_guard guard{{std::size_t{16} << 20U, 100, milliseconds{5'000}}};
-    caller_listener listener{loop, handler, timers, names, nullptr, &guard};
-    std::uint16_t port = free_port();
-    std::thread thread;
-
-    long_field_fixture()
+public:
+    open_address(const caller_limits& limits, caller_guard* guard)
+        : handler_{limits}, listener_{loop_, handler_, timers_, names, nullptr, guard}
     {
         auto reason = error{};
-        BOOST_REQUIRE(listener.open({loopback_ip, port}, reason));
-        thread = std::thread{[this] { loop.run(); }};
+        BOOST_REQUIRE(listener_.open({loopback_ip, port}, reason));
+        thread_ = std::thread{[this] { loop_.run(); }};
     }
-    long_field_fixture(const long_field_fixture&) = delete;
-    auto operator=(const long_field_fixture&) -> long_field_fixture& = delete;
-    ~long_field_fixture()
+    open_address(const open_address&) = delete;
+    auto operator=(const open_address&) -> open_address& = delete;
+    ~open_address()
     {
-        loop.stop();
-        thread.join();
+        loop_.stop();
+        thread_.join();
     }
 
-    auto serves(const std::string& fields, std::size_t bytes) -> bool
+    [[nodiscard]] auto serves(const std::string& fields, std::size_t bytes) const -> bool
     {
-        const auto answer = send_raw(port, "GET / HTTP/1.1\r\nHost: h\r\n" + fields +
-                                               "Connection: close\r\n\r\n");
+        const auto answer =
+            send_raw(port, "GET / HTTP/1.1\r\nHost: h\r\n" + fields + "Connection: close\r\n\r\n");
         return answer.find("fields of " + std::to_string(bytes) + " bytes") != std::string::npos;
     }
+
+    /// Sends a body in chunks, and after it a trailer field.
+    [[nodiscard]] auto status_with_trailer(std::size_t length) const -> std::string
+    {
+        const auto answer = send_raw(port, "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                                           "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: " +
+                                               std::string(length, 't') + "\r\n\r\n");
+        return answer.substr(0, 12).substr(std::min<std::size_t>(answer.size(), 9));
+    }
+
+    const std::uint16_t port = free_port();
+
+private:
+    boost::asio::io_context loop_;
+    asio_timer_queue timers_{loop_};
+    field_bytes_handler handler_;
+    caller_listener listener_;
+    std::thread thread_;
+};
+
+struct raised_limit_fixture
+{
+    caller_guard guard{{std::size_t{16} << 20U, 100, milliseconds{5'000}}};
+    open_address subject{{262'144}, &guard};
+};
+
+/// As the addresses for readiness, operators and peers.
+struct own_address_fixture
+{
+    open_address subject{{}, nullptr};
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(long_field_suite, long_field_fixture)
+BOOST_AUTO_TEST_SUITE(long_field_suite)
 
 // Guards against review/8: a header within a raised limit, but longer than the HTTP library's own
 // container of headers holds, ended the process.
-BOOST_AUTO_TEST_CASE(header_of_any_length_within_the_limit_is_served)
+BOOST_FIXTURE_TEST_CASE(header_of_any_length_within_the_limit_is_served, raised_limit_fixture)
 {
     for (const auto length : {std::size_t{65'533}, std::size_t{65'534}, std::size_t{66'000}}) {
         const auto text = std::string(length, 'x');
-        BOOST_TEST(serves("X: " + text + "\r\n", 1 + length), "value of " << length);
-        BOOST_TEST(serves(text + ": y\r\n", length + 1), "name of " << length);
+        BOOST_TEST(subject.serves("X: " + text + "\r\n", 1 + length), "value of " << length);
+        BOOST_TEST(subject.serves(text + ": y\r\n", length + 1), "name of " << length);
+    }
+    BOOST_TEST(subject.serves("", 0));
+}
+
+// Guards against a trailer field that no limit bounds: it ended the process at its own addresses.
+BOOST_FIXTURE_TEST_CASE(trailers_beyond_the_limit_of_a_header_get_400_at_own_addresses,
+                        own_address_fixture)
+{
+    const auto limit = caller_limits{}.header_bytes;
+    BOOST_TEST(subject.status_with_trailer(limit - 100) == "200");
+    for (const auto length : {limit, std::size_t{65'533}, std::size_t{65'534}, std::size_t{66'000},
+                              std::size_t{70'000}, std::size_t{250'000}}) {
+        BOOST_TEST(subject.status_with_trailer(length) == "400", "trailer of " << length);
     }
-    BOOST_TEST(serves("", 0));
+    BOOST_TEST(subject.serves("", 0));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
