A head longer than what is read ahead is served within the limit

Callers saw: with a raised maxHeaderBytes, a request whose head or trailers are longer than 64 KiB lost its connection without an answer, though the configuration allows it.

Cause: a session stops to read once 64 KiB wait in its buffer. That bound is meant for requests behind one in progress, but held for the request that was being read, too; with no read pending, the session ended.

Change: the bound holds while a request is in progress or being answered. Of a request that is being read the parser bounds what waits (limit of the header for the head, a chunk head and the trailers).

--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -96,8 +96,10 @@
 
 auto caller_session::read() -> void
 {
+    // While a request is being read, the parser bounds what waits.
+    const auto reads_ahead = stage_ == stage::busy || stage_ == stage::writing;
     if (reading_ || parse_posted_ || stage_ == stage::closed ||
-        input_.size() > max_read_ahead_bytes) {
+        (reads_ahead && input_.size() > max_read_ahead_bytes)) {
         return;
     }
     reading_ = true;
--- a/tests/unit/net/long_field_test.cpp
+++ b/tests/unit/net/long_field_test.cpp
@@ -111,6 +111,21 @@
     BOOST_TEST(subject.serves("", 0));
 }
 
+// Guards against a head that is longer than what is read ahead: its connection was closed without
+// an answer although the limit allows it.
+BOOST_FIXTURE_TEST_CASE(head_longer_than_the_read_ahead_is_served_within_the_limit,
+                        raised_limit_fixture)
+{
+    for (const auto length : {std::size_t{67'400}, std::size_t{70'000}, std::size_t{100'000},
+                              std::size_t{131'072}, std::size_t{262'000}}) {
+        const auto text = std::string(length, 'x');
+        BOOST_TEST(subject.serves("X: " + text + "\r\n", 1 + length), "value of " << length);
+        BOOST_TEST(subject.status_with_trailer(length) == "200", "trailer of " << length);
+    }
+    BOOST_TEST(subject.status_with_trailer(263'000) == "400");
+    BOOST_TEST(subject.serves("", 0));
+}
+
 // Guards against a trailer field that no limit bounds: it ended the process at its own addresses.
 BOOST_FIXTURE_TEST_CASE(trailers_beyond_the_limit_of_a_header_get_400_at_own_addresses,
                         own_address_fixture)
