The fields of a head count as memory of the callers

Callers of other connections saw: nothing yet; the process could grow beyond caller_memory_percent. A head of 240,000 bytes in lines of four takes 60,000 fields, 3.6 MiB at least; only its unconsumed bytes were counted.

Cause: what the parser has taken from the buffer was no one's account before the body.

Change: the account of a session holds the parser's message, while it is read and while it is in progress.

--- a/include/knapweedchute/net/caller_session.hpp
+++ b/include/knapweedchute/net/caller_session.hpp
@@ -109,7 +109,7 @@
     std::optional<memory_reservation> memory_; ///< The answer in `output_`.
     caller_guard* guard_;
     std::optional<caller_account::holding> holding_;
-    std::size_t request_bytes_ = 0;   ///< Body of the request in progress.
+    std::size_t request_bytes_ = 0;   ///< Memory of the request in progress.
     std::size_t body_wire_bytes_ = 0; ///< Bytes of the current body with its framing.
     time_point body_ends_;
     time_point idle_since_;
--- a/include/knapweedchute/net/impl/message_parser.hpp
+++ b/include/knapweedchute/net/impl/message_parser.hpp
@@ -73,6 +73,13 @@
 
     [[nodiscard]] auto message() const noexcept -> const parsed_message& { return message_; }
 
+    /// \brief Memory that the message takes so far, bytes.
+    [[nodiscard]] auto held_bytes() const noexcept -> std::size_t
+    {
+        return head_bytes_ + message_.fields.capacity() * sizeof(http_field) +
+               message_.body.capacity();
+    }
+
     /// \brief Hands over the message; the parser may only be destroyed after it.
     [[nodiscard]] auto release() noexcept -> parsed_message { return std::move(message_); }
 
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -228,10 +228,14 @@
     }
     auto bytes = session_bytes + input_.capacity() + request_bytes_;
     bytes += body_chunk_ ? body_chunk_->size() : 0;
+    if (stage_ == stage::header || stage_ == stage::body) {
+        bytes += parser_->held_bytes();
+    }
     if (stage_ == stage::body) {
         const auto promised = parser_->content_length();
-        bytes += std::max<std::size_t>(promised ? static_cast<std::size_t>(*promised) : 0,
-                                       parser_->message().body.capacity());
+        const auto reserved = parser_->message().body.capacity();
+        bytes +=
+            promised && *promised > reserved ? static_cast<std::size_t>(*promised) - reserved : 0;
     }
     // Larger answers are in the account of answers.
     bytes += output_.capacity() < memory_reservation::min_reserved ? output_.capacity() : 0;
@@ -287,8 +291,8 @@
         respond(error_answer(bad_request, "exactly one Host expected"), true);
         return;
     }
+    request_bytes_ = parser_->held_bytes();
     auto request = to_request();
-    request_bytes_ = request.body.capacity();
     enter_stage(stage::busy);
     const auto serial = ++serial_;
     const auto weak = weak_from_this();
--- a/tests/unit/net/long_field_test.cpp
+++ b/tests/unit/net/long_field_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <list>
 #include <string>
 #include <thread>
 
@@ -126,6 +127,34 @@
     BOOST_TEST(subject.serves("", 0));
 }
 
+// Guards against heads of many short lines, whose fields take far more memory than their bytes and
+// were in no account.
+BOOST_FIXTURE_TEST_CASE(fields_of_unfinished_heads_count_as_memory_of_callers, raised_limit_fixture)
+{
+    auto head = std::string{"GET / HTTP/1.1\r\nHost: h\r\n"};
+    while (head.size() < 240'000) {
+        head += "a:\r\n";
+    }
+    auto callers_loop = boost::asio::io_context{};
+    auto callers = std::list<boost::asio::ip::tcp::socket>{};
+    for (auto index = 0; index < 8; ++index) {
+        auto& socket = callers.emplace_back(callers_loop);
+        socket.connect({boost::asio::ip::make_address_v4("127.0.0.1"), subject.port});
+        auto failure = boost::system::error_code{};
+        boost::asio::write(socket, boost::asio::buffer(head), failure);
+    }
+    auto refused = 0;
+    for (auto& socket : callers) {
+        auto answer = std::string{};
+        auto failure = boost::system::error_code{};
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
+        refused += answer.starts_with("HTTP/1.1 503") ? 1 : 0;
+    }
+    // Each has 60,000 fields, 3.6 MiB at least; the callers of the fixture have 16 MiB.
+    BOOST_TEST(refused >= 4);
+    BOOST_TEST(subject.serves("", 0));
+}
+
 // Guards against a trailer field that no limit bounds: it ended the process at its own addresses.
 BOOST_FIXTURE_TEST_CASE(trailers_beyond_the_limit_of_a_header_get_400_at_own_addresses,
                         own_address_fixture)
