Limits that have come into force hold for the next request on a kept connection

Callers saw: after maxHeaderBytes was raised, a longer header within it was refused with 431 on connections that were open before, whatever time had passed; after it was lowered, they kept the old one.

Cause: a session took the limits when it became idle, not when the next request began.

Change: it takes them with the first byte of a request.

--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -172,6 +172,8 @@
         return false;
     }
     if (stage_ == stage::idle) {
+        // Other limits may have come into force since the last request.
+        reset_parser();
         enter_stage(stage::header);
     }
     auto failure = boost::system::error_code{};
--- a/tests/unit/net/answer_encoder_test.cpp
+++ b/tests/unit/net/answer_encoder_test.cpp
@@ -24,8 +24,9 @@
 {
     BOOST_TEST(encode_answer({200, {{"A", "1"}, {"A", "2"}}, "body"}, false, false) ==
                "HTTP/1.1 200 OK\r\nA: 1\r\nA: 2\r\nContent-Length: 4\r\n\r\nbody");
-    BOOST_TEST(encode_answer({503, {}, ""}, false, true) ==
-               "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(
+        encode_answer({503, {}, ""}, false, true) ==
+        "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     BOOST_TEST(encode_answer({200, {}, "body"}, true, false) ==
                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
     BOOST_TEST(encode_answer({599, {}, ""}, false, false).starts_with("HTTP/1.1 599 "));
--- a/tests/unit/net/caller_session_test.cpp
+++ b/tests/unit/net/caller_session_test.cpp
@@ -4,6 +4,7 @@
 #include <knapweedchute/net/asio_timer_queue.hpp>
 #include <knapweedchute/net/caller_listener.hpp>
 
+#include <boost/asio/read_until.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
@@ -37,7 +38,7 @@
     auto cancel(std::uint64_t request) -> void override { cancelled += request == 7 ? 1 : 0; }
     [[nodiscard]] auto limits() const -> caller_limits override
     {
-        return {400, 64, milliseconds{150}, idle_timeout.load()};
+        return {header_bytes.load(), 64, milliseconds{150}, idle_timeout.load()};
     }
 
     /// More than the socket buffers between listener and caller hold.
@@ -46,6 +47,7 @@
     responder held;
     std::atomic<int> handled{0};
     std::atomic<int> cancelled{0};
+    std::atomic<std::size_t> header_bytes{400};
     std::atomic<milliseconds> idle_timeout{milliseconds{300}};
 };
 
@@ -148,6 +150,29 @@
     BOOST_TEST(handler.handled == 0);
 }
 
+// Guards against a kept connection that holds the next request to the limits of the one before.
+BOOST_AUTO_TEST_CASE(raised_limit_holds_for_the_next_request_on_a_kept_connection)
+{
+    auto callers_loop = boost::asio::io_context{};
+    auto socket = boost::asio::ip::tcp::socket{callers_loop};
+    socket.connect({boost::asio::ip::make_address_v4("127.0.0.1"), port});
+    const auto status_of_head = [&](std::size_t bytes) {
+        auto failure = boost::system::error_code{};
+        boost::asio::write(socket,
+                           boost::asio::buffer("GET / HTTP/1.1\r\nHost: h\r\nX: " +
+                                               std::string(bytes, 'x') + "\r\n\r\n"),
+                           failure);
+        auto answer = std::string{};
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "GET / ", failure);
+        return answer.substr(0, 12);
+    };
+    BOOST_TEST(status_of_head(300) == "HTTP/1.1 200");
+    handler.header_bytes = 4'000;
+    BOOST_TEST(status_of_head(3'000) == "HTTP/1.1 200");
+    handler.header_bytes = 400;
+    BOOST_TEST(status_of_head(3'000) == "HTTP/1.1 431");
+}
+
 BOOST_AUTO_TEST_CASE(slow_request_gets_408)
 {
     BOOST_TEST(status_of("GET / HTTP/1.1\r\nHost:") == "408");
