A request beyond what the callers' memory holds is refused for good, and the log names such a limit

Callers saw: with a limit above the memory of all callers, a head or a body that can never fit got 503 with a time to come back, again at each try. Operators saw nothing: any limit up to 1,000,000,000 was accepted without a word.

Change: a session's limits are lowered to what one request can take: a body all of the callers' memory, a head half of it (it is in the buffer and in its fields at once). Above it the answer is 431 or 413, which isn't tried again. A line tells of limits that are lowered, when they come into force and at most every 10 s.

--- a/include/knapweedchute/entry/entry_instance.hpp
+++ b/include/knapweedchute/entry/entry_instance.hpp
@@ -89,6 +89,7 @@
     auto record_loop_lag(time_point due) -> void;
     auto log_evictions() -> void;
     auto log_callers_ended() -> void;
+    auto log_lowered_limits() -> void;
     auto log_proof() -> void;
     auto log_room(double borrowed) -> void;
     auto listen_for_room() -> void;
@@ -155,6 +156,8 @@
     time_point evictions_logged_at_;
     std::uint64_t logged_callers_ended_ = 0;
     time_point callers_ended_logged_at_;
+    caller_limits logged_limits_; ///< Limits in force when they were looked at last.
+    time_point limits_logged_at_;
     std::uint64_t counted_shed_ = 0; ///< Requests refused at the last exchange of room.
     bool has_loans_ = false;         ///< Whether room was borrowed at the last line about it.
     time_point room_logged_at_;
--- a/include/knapweedchute/net/caller_guard.hpp
+++ b/include/knapweedchute/net/caller_guard.hpp
@@ -39,6 +39,12 @@
 /// \param framing_bytes Bytes of chunk heads, extensions and trailers so far.
 [[nodiscard]] auto framing_too_dear(std::size_t framing_bytes, const caller_limits& limits) -> bool;
 
+/// \brief Lowers limits to what one request can take of the callers' memory: a request above them
+///        could never be served.
+/// \param memory_bytes Memory that all callers may fill.
+[[nodiscard]] auto servable_limits(const caller_limits& limits, std::size_t memory_bytes)
+    -> caller_limits;
+
 /// \brief Keeps account of what callers hold and keep open in one process. Not thread-safe.
 class caller_guard
 {
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -45,6 +45,7 @@
 constexpr auto caller_descriptor_fraction = 0.75;
 constexpr auto eviction_log_interval = seconds{10};
 constexpr auto room_log_interval = seconds{10};
+constexpr auto limits_log_interval = seconds{10};
 /// The recorded maximum lag of the event loop decays to about a third in this time.
 constexpr auto lag_decay_time = std::chrono::duration<double>(10.0);
 constexpr auto status_ok = 200U;
@@ -305,6 +306,7 @@
     update_member_counts();
     log_evictions();
     log_callers_ended();
+    log_lowered_limits();
     log_proof();
     if (!stopping_ && view_.ready() && peers_.self().state == member_state::joining) {
         peers_.announce(member_state::alive);
@@ -375,6 +377,27 @@
     callers_ended_logged_at_ = now;
 }
 
+auto entry_instance::log_lowered_limits() -> void
+{
+    const auto now = timers_.now();
+    const auto limits = relay_.limits();
+    if (limits == logged_limits_ || now - limits_logged_at_ < limits_log_interval) {
+        return;
+    }
+    logged_limits_ = limits;
+    limits_logged_at_ = now;
+    const auto lowered = servable_limits(limits, caller_guard_.account().limit());
+    if (lowered != limits) {
+        log_line.warning("Limits of callers exceed their memory and are lowered.",
+                         {{"version", std::to_string(configuration_version())},
+                          {"header_bytes", std::to_string(limits.header_bytes)},
+                          {"lowered_header_bytes", std::to_string(lowered.header_bytes)},
+                          {"body_bytes", std::to_string(limits.body_bytes)},
+                          {"lowered_body_bytes", std::to_string(lowered.body_bytes)},
+                          {"memory_bytes", std::to_string(caller_guard_.account().limit())}});
+    }
+}
+
 auto entry_instance::update_member_counts() -> void
 {
     const auto now = timers_.now();
--- a/src/net/caller_guard.cpp
+++ b/src/net/caller_guard.cpp
@@ -21,6 +21,8 @@
 /// A body of one-byte chunks has five bytes of framing for each byte.
 constexpr auto framing_per_byte = std::size_t{8};
 constexpr auto least_framing_bytes = std::size_t{64} * 1'024;
+/// The last line of a head is in the buffer and in its field at once.
+constexpr auto memory_per_head_byte = std::size_t{2};
 
 } // namespace
 
@@ -36,6 +38,14 @@
     return framing_bytes > least_framing_bytes + framing_per_byte * limits.body_bytes;
 }
 
+auto servable_limits(const caller_limits& limits, std::size_t memory_bytes) -> caller_limits
+{
+    auto lowered = limits;
+    lowered.header_bytes = std::min(limits.header_bytes, memory_bytes / memory_per_head_byte);
+    lowered.body_bytes = std::min(limits.body_bytes, memory_bytes);
+    return lowered;
+}
+
 auto caller_guard::ended(caller_end why) const noexcept -> std::uint64_t
 {
     return why == caller_end::last ? std::accumulate(ends_.begin(), ends_.end(), std::uint64_t{0})
--- a/src/net/caller_session.cpp
+++ b/src/net/caller_session.cpp
@@ -91,6 +91,9 @@
 auto caller_session::reset_parser() -> void
 {
     limits_ = handler_->limits();
+    if (guard_ != nullptr) {
+        limits_ = servable_limits(limits_, guard_->account().limit());
+    }
     parser_.emplace(impl::message_limits{limits_.header_bytes, limits_.body_bytes});
 }
 
--- a/tests/crowd/crowd_main.cpp
+++ b/tests/crowd/crowd_main.cpp
@@ -47,6 +47,9 @@
 constexpr auto large_answer_bytes = std::size_t{512} * 1'024;
 constexpr auto status_ok = 200U;
 
+/// A limit that the daemon's memory can't honour.
+constexpr auto unservable_header_bytes = std::size_t{1'000'000'000};
+
 /// What the members of a crowd do; the body limit is 262,144 bytes.
 struct behaviour
 {
@@ -54,6 +57,7 @@
     std::string bytes;           ///< Sent at once by each; a byte is sent now and then after it.
     bool reads = true;           ///< Whether answers are read.
     std::size_t descriptors = 0; ///< Descriptors that the daemon may open; 0: as this process.
+    std::size_t max_header_bytes = 16'384; ///< Limit in the configuration.
 };
 
 auto chunked_post() -> std::string
@@ -85,6 +89,14 @@
         return {400, "GET /q/x HTTP/1.1\r\nHost: crowd\r\nX: " + std::string(12'000, 'x'), true,
                 256};
     }
+    if (name == "long_headers") {
+        return {200, "GET /q/x HTTP/1.1\r\nHost: crowd\r\nX: " + std::string(300'000, 'x'), true, 0,
+                unservable_header_bytes};
+    }
+    if (name == "many_headers") {
+        return {200, "GET /q/x HTTP/1.1\r\nHost: crowd\r\n" + repeated("a:\r\n", 50'000), true, 0,
+                unservable_header_bytes};
+    }
     if (name == "slow_readers") {
         const auto ask = [](const std::string& path) {
             return "GET " + path +
@@ -210,7 +222,8 @@
 public:
     world(const std::string& program, const std::filesystem::path& work, const behaviour& does)
         : does_{does}, store_listener_{loop_, store_, timers_, names_},
-          entry_{program, (work / "entry.json").string(), (work / "entry.log").string()}
+          entry_{program, (work / "entry.json").string(), (work / "entry.log").string()},
+          log_{work / "entry.log"}
     {
         open(store_listener_, store_ip);
         for (auto index = std::uint32_t{0}; index < 4; ++index) {
@@ -256,6 +269,8 @@
         expect(peak_memory_ <= memory_limit_mb * mebibyte, "memory over its limit");
         expect(most_descriptors_ <= descriptor_bound_, "descriptors over their bound");
         expect(answered, "no answer to an ordinary request");
+        expect(logs_lowered_limits() == (does_.max_header_bytes == unservable_header_bytes),
+               "the log doesn't tell whether a limit is lowered");
         return faults;
     }
 
@@ -284,19 +299,28 @@
         setrlimit(RLIMIT_NOFILE, &own);
     }
 
+    auto logs_lowered_limits() const -> bool
+    {
+        auto log = std::ifstream{log_};
+        const auto text = std::string{std::istreambuf_iterator<char>{log}, {}};
+        return text.find("Limits of callers exceed their memory and are lowered.") !=
+               std::string::npos;
+    }
+
     auto write_configuration() -> void
     {
         const auto route =
             nlohmann::json{{"name", "q"},    {"host", "crowd"},           {"prefix", "/q/"},
                            {"service", "s"}, {"routeType", "idempotent"}, {"timeoutMs", 3'000},
                            {"priority", 1},  {"targetLatencyMs", 150},    {"maxAttempts", 2}};
-        store_.put("op/config",
-                   nlohmann::json{{"version", 1},
-                                  {"routes", nlohmann::json::array({route})},
-                                  {"services", nlohmann::json::array(
-                                                   {{{"name", "s"}, {"maxConnections", 80}}})},
-                                  {"limits", {{"idleTimeoutMs", 15'000}}}}
-                       .dump());
+        store_.put(
+            "op/config",
+            nlohmann::json{
+                {"version", 1},
+                {"routes", nlohmann::json::array({route})},
+                {"services", nlohmann::json::array({{{"name", "s"}, {"maxConnections", 80}}})},
+                {"limits", {{"idleTimeoutMs", 15'000}, {"maxHeaderBytes", does_.max_header_bytes}}}}
+                .dump());
     }
 
     auto write_targets() -> void
@@ -389,6 +413,7 @@
     std::vector<std::unique_ptr<target>> targets_;
     std::vector<std::unique_ptr<caller_listener>> listeners_;
     soak::entry_process entry_;
+    std::filesystem::path log_;
     bool reopens_ = true;
     std::vector<std::shared_ptr<member>> members_;
     std::uint64_t sequence_ = 0;
@@ -412,7 +437,8 @@
     app.add_option("--work", work, "Folder for settings and the log; kept");
     app.add_option("--case", name, "What the crowd does")
         ->required()
-        ->check(CLI::IsMember({"large_chunks", "tiny_chunks", "slow_heads", "slow_readers"}));
+        ->check(CLI::IsMember({"large_chunks", "tiny_chunks", "slow_heads", "slow_readers",
+                               "long_headers", "many_headers"}));
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     std::filesystem::create_directories(work);
--- a/tests/unit/net/caller_guard_test.cpp
+++ b/tests/unit/net/caller_guard_test.cpp
@@ -137,6 +137,16 @@
     BOOST_TEST((std::adjacent_find(ended.begin(), ended.end()) == ended.end()));
 }
 
+BOOST_AUTO_TEST_CASE(limits_above_the_memory_of_callers_are_lowered_to_what_it_holds)
+{
+    const auto limits = caller_limits{1'000, 4'000};
+    BOOST_TEST((servable_limits(limits, 4'000) == limits));
+    const auto lowered = servable_limits(limits, 1'000);
+    BOOST_TEST(lowered.header_bytes == 500U);
+    BOOST_TEST(lowered.body_bytes == 1'000U);
+    BOOST_TEST((lowered.idle_timeout == limits.idle_timeout));
+}
+
 BOOST_AUTO_TEST_CASE(body_time_lies_between_the_idle_timeout_and_the_limit)
 {
     const auto limits = caller_limits{};
--- a/tests/unit/net/long_field_test.cpp
+++ b/tests/unit/net/long_field_test.cpp
@@ -90,6 +90,13 @@
     open_address subject{{262'144}, &guard};
 };
 
+/// Limits far above the memory of callers.
+struct small_memory_fixture
+{
+    caller_guard guard{{std::size_t{1} << 20U, 100, milliseconds{5'000}}};
+    open_address subject{{1'000'000'000, 1'000'000'000}, &guard};
+};
+
 /// As the addresses for readiness, operators and peers.
 struct own_address_fixture
 {
@@ -127,6 +134,21 @@
     BOOST_TEST(subject.serves("", 0));
 }
 
+// Guards against a limit that the callers' memory can't honour: such a request was read up to that
+// memory and refused as one to send again.
+BOOST_FIXTURE_TEST_CASE(head_that_no_memory_can_hold_is_refused_for_good, small_memory_fixture)
+{
+    BOOST_TEST(subject.serves("X: " + std::string(60'000, 'x') + "\r\n", 60'001));
+    const auto answer =
+        send_raw(subject.port,
+                 "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(3'000'000, 'x') + "\r\n\r\n");
+    BOOST_TEST(answer.substr(0, 12) == "HTTP/1.1 431");
+    const auto promised = send_raw(subject.port, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                                                 "900000000\r\n\r\n");
+    BOOST_TEST(promised.substr(0, 12) == "HTTP/1.1 413");
+    BOOST_TEST(subject.serves("", 0));
+}
+
 // Guards against heads of many short lines, whose fields take far more memory than their bytes and
 // were in no account.
 BOOST_FIXTURE_TEST_CASE(fields_of_unfinished_heads_count_as_memory_of_callers, raised_limit_fixture)
