Header names are compared without a locale

Cause: names are looked up more often since messages aren't in the HTTP library's container; the comparison made a locale for each and would have followed the process's one. Change: ASCII letters are compared as such; the library's parser is included without its container.

--- a/include/knapweedchute/net/impl/http_library.hpp
+++ b/include/knapweedchute/net/impl/http_library.hpp
@@ -7,7 +7,6 @@
 // clang-format off
 #include <ostream>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 // clang-format on
--- a/src/relay/http_field.cpp
+++ b/src/relay/http_field.cpp
@@ -1,6 +1,5 @@
 #include <knapweedchute/relay/http_field.hpp>
 
-#include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 
@@ -15,11 +14,18 @@
     "connection", "keep-alive",        "proxy-connection", "te",
     "trailer",    "transfer-encoding", "upgrade",          "expect"};
 
+/// Names are ASCII, whatever the locale of the process is.
+constexpr auto lower_case(char letter) noexcept -> char
+{
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
 } // namespace
 
 auto same_name(std::string_view left, std::string_view right) noexcept -> bool
 {
-    return left.size() == right.size() && boost::algorithm::iequals(left, right);
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](char one, char other) { return lower_case(one) == lower_case(other); });
 }
 
 auto find_field(const field_list& fields, std::string_view name) noexcept -> const http_field*
