--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -116,6 +116,14 @@
     BOOST_TEST(read().page.revision == 9U);
 }
 
+BOOST_AUTO_TEST_CASE(watch_whose_revision_is_beyond_its_events_passes_over_no_change)
+{
+    body = R"({"asOf":9,"events":[)" + sound + R"(,{"key":"op/config","revision":7,"value":""}]})";
+    const auto reply = watch();
+    BOOST_TEST(reply.page.events.size() == 2U);
+    BOOST_TEST(reply.page.revision == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(page_that_is_no_page_has_failed)
 {
     for (const auto* odd :
