A configuration written again under its version is taken

Cause: the order of configurations came from a number in their text alone, not from the store's. Change: among equal versions the store's revision decides; a stale answer has an older one.

--- a/include/knapweedchute/entry/cluster_view.hpp
+++ b/include/knapweedchute/entry/cluster_view.hpp
@@ -18,10 +18,14 @@
     {
     }
 
-    /// \brief Replaces the active route table if `table` has a higher version.
-    /// \param now Time at which the table becomes active.
+    /// \brief Replaces the active route table if `table` has a higher version, or the same one and
+    /// a
+    ///        higher revision.
+    /// \param revision Revision of the store at which the table was written.
+    /// \param now      Time at which the table becomes active.
     /// \returns Whether the table was replaced.
-    auto adopt(std::shared_ptr<const route_table> table, time_point now) -> bool;
+    auto adopt(std::shared_ptr<const route_table> table, std::uint64_t revision, time_point now)
+        -> bool;
 
     /// \brief Records that the complete list of targets has been read once.
     auto mark_targets_complete() noexcept -> void { targets_complete_ = true; }
@@ -43,6 +47,7 @@
 
 private:
     std::shared_ptr<const route_table> table_;
+    std::uint64_t table_revision_ = 0;
     time_point adopted_at_;
     target_registry targets_;
     version_monitor versions_;
