--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -54,7 +54,8 @@
     std::uint64_t revision = 1;
     /// Revision up to which watches hear of changes; nothing if they hear of all.
     std::optional<std::uint64_t> heard;
-    std::uint64_t oldest = 0; ///< Watches from before this revision are told to read all again.
+    std::uint64_t oldest = 0;    ///< Watches from before this revision are told to read all again.
+    std::uint64_t forgotten = 0; ///< Watches hear nothing of the changes up to this revision.
 
     /// \brief Lets watches hear nothing from now on.
     auto deafen() -> void { heard = heard.value_or(revision); }
@@ -66,6 +67,9 @@
         oldest = revision;
     }
 
+    /// \brief Drops the history so far; watches from before are not told that it is gone.
+    auto forget() -> void { forgotten = revision; }
+
     auto remove(const std::string& key) -> void
     {
         revision += 1;
@@ -160,10 +164,14 @@
         auto reply = feed_reply{feed_read_status::done, {}};
         reply.page.revision = std::max(last, after);
         for (const auto& change : contents_->changes) {
-            if (change.revision > after && change.revision <= last) {
+            if (change.revision > std::max(after, contents_->forgotten) &&
+                change.revision <= last) {
                 reply.page.events.push_back(change);
             }
         }
+        if (reply.page.events.empty()) {
+            reply.page.revision = after;
+        }
         if (!reply.page.events.empty() || network_->now() >= end) {
             answer(call, reply);
             return;
