A change that a watch left out is read once peers state it

Cause: a watch goes on from its cursor, and nothing goes back behind it. A suspected source was asked again from the same cursor; between two watches, which is most of the time while changes come, the suspicion was dropped without a line. Class: a cursor that is trusted for good. Change: a suspicion holds until an answer of the source. If the store tells nothing of the operator's keys then, all keys are read again, never a stale state ("Changes not told."). "Source suspected." is written whether a call waits or not. Followers leave it to their peer, which suspects its own source. The test fleet reads the operator's keys separately now, as the daemon does.

--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -75,6 +75,8 @@
     [[nodiscard]] auto uptime() const -> duration { return uptime_(); }
 
     /// \brief Ends a watch in progress, as peers know of a change that its source has not told.
+    /// \detail If the store then tells nothing of the fresh prefix, all keys are read again: what a
+    ///         watch left out is in no later one.
     auto suspect_source() -> void;
 
     /// \brief Whether changes are read from a peer instead of the store.
@@ -110,6 +112,8 @@
     auto read_untold_changes(const feed_page& told) -> void;
     auto schedule_next_untold_read(bool brought_changes) -> void;
     auto notify_listener(const feed_event& event) -> bool;
+    /// \brief Whether the source is suspected and the page does not clear it.
+    [[nodiscard]] auto left_out_change(const feed_page& page) -> bool;
     auto select_source() -> feed_source&;
     [[nodiscard]] auto current_source() const -> feed_source&;
     auto record_failure(feed_failure failure) -> void;
@@ -161,6 +165,7 @@
     bool reading_untold_ = false;       ///< Whether the full read in progress is for such changes.
     time_point next_untold_read_;       ///< Earliest start of the next one.
     duration untold_read_interval_{0};  ///< Time between two that brought nothing.
+    bool suspected_ = false; ///< Whether peers know of a change that no answer has told since.
 };
 
 } // namespace knapweedchute
--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -146,6 +146,7 @@
 auto feed_subscriber::finish_full_read() -> void
 {
     must_read_current_ = false;
+    suspected_ = false;
     auto keys = std::set<std::string>{};
     for (const auto& [key, event] : pending_items_) {
         keys.insert(key);
@@ -190,8 +191,8 @@
         return probe_watch_timeout;
     }
     // After a full read, which may be stale, the first watch tells at once what is missing; so it
-    // does where the store has stated a later revision.
-    if (!known_age || lacks_changes()) {
+    // does where the store has stated a later revision or peers have one.
+    if (!known_age || suspected_ || lacks_changes()) {
         return milliseconds{0};
     }
     return is_followed() ? limits_.shared_watch(*known_age) : limits_.direct_watch(*known_age);
@@ -224,7 +225,8 @@
     }
     record_contact(reply.page.recent_disruption);
     const auto from_store = !followed_peer_;
-    if (from_store && finds_gap(reply)) {
+    const auto left_out = left_out_change(reply.page);
+    if (from_store && (finds_gap(reply) || left_out)) {
         read_untold_changes(reply.page);
         return;
     }
@@ -344,6 +346,15 @@
     return listener_->on_value(event);
 }
 
+auto feed_subscriber::left_out_change(const feed_page& page) -> bool
+{
+    const auto told =
+        std::any_of(page.events.begin(), page.events.end(),
+                    [this](const auto& event) { return event.key.starts_with(fresh_prefix_); });
+    // A peer that lacks the change suspects its own source.
+    return std::exchange(suspected_, false) && !told && !followed_peer_;
+}
+
 auto feed_subscriber::select_source() -> feed_source&
 {
     const auto previous_source = followed_peer_ ? followed_peer_->instance : std::string{};
@@ -372,10 +383,11 @@
 
 auto feed_subscriber::suspect_source() -> void
 {
+    suspected_ = true;
+    log_line.warning(
+        "Source suspected.",
+        {{"from", followed_peer_ ? followed_peer_->instance : "store"}, {"age_ms", age_text()}});
     if (std::exchange(watching_, false)) {
-        log_line.warning("Source suspected.",
-                         {{"from", followed_peer_ ? followed_peer_->instance : "store"},
-                          {"age_ms", age_text()}});
         current_source().abort_watch();
     }
 }
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -151,8 +151,9 @@
     bool refused = false; ///< The store answers that it does not serve this instance.
     /// Connections, the kept one and those opened next, that are silent.
     std::size_t silent_connections = 0;
-    duration held_up{0};   ///< Time for which answers are held up on their way.
-    std::size_t calls = 0; ///< Watches begun.
+    duration held_up{0};              ///< Time for which answers are held up on their way.
+    std::size_t calls = 0;            ///< Watches begun.
+    std::set<std::uint64_t> left_out; ///< Revisions of changes that no watch tells.
 
 private:
     /// Looks for changes every few milliseconds, as the store pushes them.
@@ -167,7 +168,8 @@
         reply.page.revision = std::max(last, after);
         for (const auto& change : contents_->changes) {
             if (change.revision > std::max(after, contents_->forgotten) &&
-                change.revision <= last && change.revision != contents_->left_out) {
+                change.revision <= last && change.revision != contents_->left_out &&
+                !left_out.contains(change.revision)) {
                 reply.page.events.push_back(change);
             }
         }
@@ -309,7 +311,7 @@
                          [this, &fleet] { return known.empty() ? fleet.members : known; },
                          self,
                          *this,
-                         "",
+                         "op/",
                          fleet.limits,
                          [&fleet] { return fleet.timers.now().time_since_epoch(); }}
         {
--- a/tests/unit/feed/propagation_test.cpp
+++ b/tests/unit/feed/propagation_test.cpp
@@ -18,6 +18,7 @@
 /// Time from the begin of a reader's pause until it loses the store, and from there to its end.
 constexpr auto pause_before_loss = milliseconds{1'100};
 constexpr auto pause_after_loss = milliseconds{1'300};
+constexpr auto interval_in_row = milliseconds{60};
 
 const auto nine_in_three_zones =
     std::vector<std::string>{"a", "a", "a", "a", "b", "b", "b", "c", "c"};
@@ -237,4 +238,33 @@
     BOOST_TEST((slowest_release < apply_limit), slowest_release / milliseconds{1});
 }
 
+BOOST_AUTO_TEST_CASE(change_that_a_watch_left_out_is_in_use_in_time_as_peers_state_it)
+{
+    for (const auto& zones : {nine_in_three_zones, twelve_in_one_zone}) {
+        for (auto index = std::size_t{0}; index < 4; ++index) {
+            play(zones, [index](auto& fleet) {
+                fleet.start_gossip();
+                fleet.instances[index]->store.left_out.insert(fleet.contents.revision + 1);
+                return std::vector<feed_fleet::instance*>{};
+            });
+        }
+    }
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
+BOOST_AUTO_TEST_CASE(change_that_a_watch_left_out_among_others_is_in_use_in_time_as_peers_state_it)
+{
+    play(nine_in_three_zones, [](auto& fleet) {
+        fleet.start_gossip();
+        fleet.instances.front()->store.left_out.insert(fleet.contents.revision + 1);
+        for (auto time = interval_in_row; time < 2 * apply_limit; time += interval_in_row) {
+            fleet.timers.at(fleet.timers.now() + time, [&fleet] {
+                fleet.contents.write("servers/a", std::to_string(fleet.contents.revision));
+            });
+        }
+        return std::vector<feed_fleet::instance*>{};
+    });
+    BOOST_TEST((slowest < apply_limit), slowest_case);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
