--- a/tests/soak/soak_calm.cpp
+++ b/tests/soak/soak_calm.cpp
@@ -39,13 +39,20 @@
 
 auto soak_world::run() -> std::vector<std::string>
 {
+    start_probes();
     pass(seconds{3});
     draw_fault();
     pass(options_.faults);
     calm_down();
+    // Nothing is written any more: an instance that lacks the last version isn't led to it.
+    quiet_ = true;
     pass(recovery_bound);
+    judge_.begin_window();
     expect_served("after the faults");
+    judge_.expect_newest(entries_.size(), "after the faults");
+    quiet_ = false;
     expect_newest_everywhere();
+    trouble_configuration();
     refuse_most_instances();
     restart_beside_odd_entries();
     take_zone_out();
@@ -58,7 +65,7 @@
     for (const auto& [name, count] : faults_drawn_) {
         std::cout << ' ' << name << '=' << count;
     }
-    std::cout << '\n';
+    std::cout << "\n" << judge_.summary() << "; hold-ups " << touch_.hold_ups() << '\n';
     return all;
 }
 
@@ -66,21 +73,23 @@
 {
     auto all = faults_;
     std::copy(checker_.faults().begin(), checker_.faults().end(), std::back_inserter(all));
+    std::copy(judge_.faults().begin(), judge_.faults().end(), std::back_inserter(all));
     return all;
 }
 
 auto soak_world::calm_down() -> void
 {
     faulty_ = false;
-    store_.set_mode(store_mode::up);
-    open_gates();
+    change_configuration();
+    set_store_mode(store_mode::up);
+    end_refusals();
     for (auto& one : targets_) {
         one.target->set_mode(target_mode::good);
         one.listed = true;
         write_target(one);
     }
-    for (auto& entry : entries_) {
-        entry->signal(SIGCONT);
+    for (auto index = std::size_t{0}; index < entries_.size(); ++index) {
+        signal(index, SIGCONT);
     }
 }
 
@@ -119,7 +128,8 @@
 {
     const auto served = drawn(store_accesses_.size());
     for (auto index = std::size_t{0}; index < store_accesses_.size(); ++index) {
-        store_accesses_.at(index)->gate.set_open(index == served || drawn(4) == 0);
+        const auto open = index == served || drawn(4) == 0;
+        set_gate(index, open ? gate_mode::open : gate_mode::refusing);
     }
     for (auto changes = std::uint64_t{1}; changes <= changes_while_refused; ++changes) {
         change_configuration();
@@ -143,8 +153,8 @@
             }
         }
     }
-    for (auto& entry : entries_) {
-        entry->signal(SIGKILL);
+    for (auto index = std::size_t{0}; index < entries_.size(); ++index) {
+        signal(index, SIGKILL);
     }
     pass(recovery_bound);
     expect_served("after a restart beside odd entries");
@@ -220,8 +230,8 @@
 {
     ending_ = true;
     pass(seconds{1});
-    for (auto& entry : entries_) {
-        entry->signal(SIGTERM);
+    for (auto index = std::size_t{0}; index < entries_.size(); ++index) {
+        signal(index, SIGTERM);
     }
     pass(stop_bound);
     for (auto index = std::size_t{0}; index < entries_.size(); ++index) {
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -14,11 +14,6 @@
 
 auto soak_world::draw_fault() -> void
 {
-    struct drawn_fault
-    {
-        const char* name;
-        fault_action act;
-    };
     static constexpr auto actions =
         std::array{drawn_fault{"kill", &soak_world::kill_entry},
                    drawn_fault{"freeze", &soak_world::freeze_entry},
@@ -31,7 +26,14 @@
                    drawn_fault{"version", &soak_world::change_configuration},
                    drawn_fault{"version", &soak_world::change_configuration},
                    drawn_fault{"large", &soak_world::enlarge_configuration},
-                   drawn_fault{"refused", &soak_world::refuse_instances}};
+                   drawn_fault{"refused", &soak_world::refuse_instances},
+                   drawn_fault{"storm", &soak_world::begin_storm},
+                   drawn_fault{"reset", &soak_world::refuse_by_reset},
+                   drawn_fault{"silence", &soak_world::refuse_by_silence},
+                   drawn_fault{"all", &soak_world::kill_all_after_change},
+                   drawn_fault{"unheard", &soak_world::drop_history_unheard},
+                   drawn_fault{"stale", &soak_world::read_stale},
+                   drawn_fault{"hangup", &soak_world::hang_up}};
     if (!faulty_) {
         return;
     }
@@ -43,26 +45,26 @@
 
 auto soak_world::kill_entry() -> void
 {
-    entries_.at(drawn(entries_.size()))->signal(SIGKILL);
+    signal(drawn(entries_.size()), SIGKILL);
 }
 
 auto soak_world::freeze_entry() -> void
 {
     const auto index = drawn(entries_.size());
-    entries_.at(index)->signal(SIGSTOP);
-    later(drawn_time(200, 2'500), [this, index] { entries_.at(index)->signal(SIGCONT); });
+    signal(index, SIGSTOP);
+    later(drawn_time(200, 2'500), [this, index] { signal(index, SIGCONT); });
 }
 
 auto soak_world::stop_entry() -> void
 {
-    entries_.at(drawn(entries_.size()))->signal(SIGTERM);
+    signal(drawn(entries_.size()), SIGTERM);
 }
 
 auto soak_world::trouble_store() -> void
 {
     constexpr auto modes = std::array{store_mode::busy, store_mode::silent, store_mode::lossy};
-    store_.set_mode(modes.at(drawn(modes.size())));
-    later(drawn_time(300, 3'000), [this] { store_.set_mode(store_mode::up); });
+    set_store_mode(modes.at(drawn(modes.size())));
+    later(drawn_time(300, 3'000), [this] { set_store_mode(store_mode::up); });
 }
 
 auto soak_world::forget_history() -> void
@@ -117,16 +119,16 @@
 
 auto soak_world::refuse_instances() -> void
 {
-    for (const auto& access : store_accesses_) {
-        access->gate.set_open(drawn(2) == 0);
+    for (auto index = std::size_t{0}; index < store_accesses_.size(); ++index) {
+        set_gate(index, drawn(2) == 0 ? gate_mode::open : gate_mode::refusing);
     }
     later(drawn_time(300, 4'000), [this] { open_gates(); });
 }
 
 auto soak_world::open_gates() -> void
 {
-    for (const auto& access : store_accesses_) {
-        access->gate.set_open(true);
+    for (auto index = std::size_t{0}; index < store_accesses_.size(); ++index) {
+        set_gate(index, gate_mode::open);
     }
 }
 
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -67,6 +67,20 @@
             {"priority", 1},     {"maxAttempts", 2}};
 }
 
+auto probed_route_of(const std::string& name, const probed_route& probed) -> nlohmann::json
+{
+    auto route = route_of(name, "idempotent");
+    route["timeoutMs"] = probed.timeout.count();
+    for (const auto& [service, weight] : probed.parts) {
+        if (probed.parts.size() == 1) {
+            route["service"] = service;
+        } else {
+            route["trafficSplit"].push_back({{"service", service}, {"weight", weight}});
+        }
+    }
+    return route;
+}
+
 } // namespace
 
 soak_world::soak_world(const soak_options& options)
@@ -93,6 +107,7 @@
         add_target(answer_checker::configured_service(index), "b", "v1");
         faulty_targets_ = index < faulty_configured_services ? targets_.size() : faulty_targets_;
     }
+    add_probe_services();
     if (options_.endless) {
         add_endless_targets();
     }
@@ -101,6 +116,7 @@
         add_entry(zones.at(index % zones.size()));
     }
     write_heartbeats();
+    write_pulse();
     keep_running();
 }
 
@@ -169,11 +185,13 @@
 {
     sequence_ += 1;
     for (const auto& one : targets_) {
-        if (one.listed) {
+        if (one.listed && !quiet_) {
             write_target(one);
         }
     }
-    write_endless_targets();
+    if (!quiet_) {
+        write_endless_targets();
+    }
     later(heartbeat_interval, [this] { write_heartbeats(); });
 }
 
@@ -200,12 +218,19 @@
     }
     checker_.on_version(version_);
     config_version_ += 1;
-    store_.put("op/config", nlohmann::json{{"version", config_version_},
-                                           {"routes", {query, once, moved, chosen, endless}},
-                                           {"services", services},
-                                           {"limits", {{"idleTimeoutMs", 15'000}}},
-                                           {"padding", std::string(padding, 'x')}}
-                                .dump());
+    auto routes = nlohmann::json::array({query, once, moved, chosen, endless});
+    for (const auto& [name, probed] : configuration_.draw_next(config_version_).routes) {
+        routes.push_back(probed_route_of(name, probed));
+    }
+    const auto text = nlohmann::json{{"version", config_version_},
+                                     {"routes", routes},
+                                     {"services", services},
+                                     {"limits", {{"idleTimeoutMs", 15'000}}},
+                                     {"padding", std::string(padding, 'x')}}
+                          .dump();
+    configuration_.on_sent(timers_.now());
+    store_.put("op/config", text);
+    configuration_.on_acknowledged(timers_.now());
 }
 
 auto soak_world::write_settings(const std::filesystem::path& path, const std::string& name,
@@ -261,6 +286,7 @@
         store_proxy_->add_instance(*entries_.back(), listener);
     }
     entries_.back()->start();
+    touch_.add_instance(timers_.now());
     lifetimes_.push_back(1);
     caller_addresses_.push_back({ip, port});
     add_callers(index);
@@ -312,6 +338,8 @@
         }
         lifetimes_.at(index) += 1;
         entry.start();
+        touch_.set(index, touch_trouble::ended, true, timers_.now());
+        touch_.set(index, touch_trouble::ended, false, timers_.now());
     }
     later(keep_interval, [this] { keep_running(); });
 }
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "answer_checker.hpp"
+#include "configuration_history.hpp"
+#include "configuration_probe.hpp"
 #include "endless_targets.hpp"
 #include "entry_process.hpp"
 #include "store_proxy.hpp"
 #include "store_stand_in.hpp"
 #include "target_stand_in.hpp"
+#include "touch_record.hpp"
 
 #include <knapweedchute/net/asio_timer_queue.hpp>
 #include <knapweedchute/net/call_client.hpp>
@@ -82,6 +85,16 @@
         std::size_t instance = 0;
     };
 
+    /// \brief One caller of probes of the configuration.
+    struct probe_caller
+    {
+        std::unique_ptr<call_client> client;
+        std::vector<probe_kind> kinds; ///< Asked for in turn.
+        std::size_t instance = 0;
+        std::size_t asked = 0;
+        bool keeps_connection = true;
+    };
+
     struct counted
     {
         std::size_t asked = 0;
@@ -90,6 +103,12 @@
 
     using fault_action = void (soak_world::*)();
 
+    struct drawn_fault
+    {
+        const char* name;
+        fault_action act;
+    };
+
     /// Items of a page of the store; the list of targets takes several.
     static constexpr auto page_size = std::size_t{10};
     /// Instances up to which each has a gate; finding the instance of a connection takes long.
@@ -109,10 +128,23 @@
     auto write_endless_targets() -> void;
     auto write_heartbeats() -> void;
     auto ask(std::size_t index) -> void;
+    auto add_probe_services() -> void;
+    auto start_probes() -> void;
+    auto probe_configuration(std::size_t index) -> void;
+    auto on_probe_answer(const probe& asked, const exchange_result& result) -> void;
+    auto write_pulse() -> void;
     auto ask_endless(std::size_t index) -> void;
     [[nodiscard]] auto all_faults() -> std::vector<std::string>;
     auto draw_fault() -> void;
+    auto draw_configuration_fault() -> void;
     auto open_gates() -> void;
+    auto set_gate(std::size_t index, gate_mode mode) -> void;
+    auto set_resetting(std::size_t instance, bool resetting) -> void;
+    auto set_store_mode(store_mode mode) -> void;
+    auto set_store_deaf(bool deaf) -> void;
+    auto end_refusals() -> void;
+    auto signal(std::size_t instance, int number) -> void;
+    [[nodiscard]] auto some_instances() -> std::vector<std::size_t>;
     auto keep_running() -> void;
     auto pass(duration time) -> void;
 
@@ -129,11 +161,20 @@
     auto enlarge_configuration() -> void;
     auto write_large_configurations(std::size_t count) -> void;
     auto refuse_instances() -> void;
+    auto begin_storm() -> void;
+    auto write_storm(duration gap, time_point until) -> void;
+    auto refuse_by_reset() -> void;
+    auto refuse_by_silence() -> void;
+    auto kill_all_after_change() -> void;
+    auto drop_history_unheard() -> void;
+    auto read_stale() -> void;
+    auto hang_up() -> void;
     /// @}
 
     /// \name The calm part
     /// @{
     auto calm_down() -> void;
+    auto trouble_configuration() -> void;
     auto expect_served(const std::string& when) -> void;
     auto expect_newest_everywhere() -> void;
     auto expect_everywhere(std::uint64_t version) -> void;
@@ -170,6 +211,11 @@
     std::vector<address> endless_addresses_;
     std::vector<std::unique_ptr<call_client>> endless_callers_;
     answer_checker checker_;
+    configuration_history configuration_{options_.seed};
+    configuration_judge judge_{configuration_};
+    touch_record touch_;
+    std::vector<probe_caller> probe_callers_;
+    std::uint64_t next_probe_ = 1;
     std::map<request_kind, counted> counts_;
     std::map<std::string, std::size_t> faults_drawn_;
     std::vector<std::string> faults_;
@@ -178,6 +224,7 @@
     std::uint64_t sequence_ = 1;
     std::uint64_t next_request_ = 1;
     bool faulty_ = true;
+    bool quiet_ = false; ///< Whether targets write nothing: only `sequence` would differ.
     bool ending_ = false;
 };
 
--- a/tests/soak/store_proxy.cpp
+++ b/tests/soak/store_proxy.cpp
@@ -1,15 +1,18 @@
 #include "store_proxy.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <fstream>
 #include <iomanip>
 #include <memory>
 #include <sstream>
 #include <string>
+#include <utility>
 
 namespace knapweedchute::soak {
 namespace {
@@ -18,6 +21,7 @@
 using boost::system::error_code;
 
 constexpr auto buffer_bytes = std::size_t{65'536};
+constexpr auto reset_delay = std::chrono::milliseconds{20};
 
 auto endpoint_of(const address& where) -> tcp::endpoint
 {
@@ -60,48 +64,82 @@
     return "";
 }
 
+} // namespace
+
 /// Passes bytes on between two connections until one of them ends.
-class proxied_connection final : public std::enable_shared_from_this<proxied_connection>
+class store_proxy::connection final : public std::enable_shared_from_this<connection>
 {
 public:
-    proxied_connection(tcp::socket from, tcp::socket to) : ends_{std::move(from), std::move(to)} {}
+    connection(tcp::socket from, tcp::socket to, std::shared_ptr<const access> owner)
+        : ends_{std::move(from), std::move(to)},
+          reset_timer_{ends_[0].get_executor()}, owner_{std::move(owner)}
+    {
+    }
 
-    auto start(const address& where) -> void
+    auto start() -> void
     {
-        ends_[1].async_connect(endpoint_of(where),
+        ends_[1].async_connect(endpoint_of(owner_->listener),
                                [self = shared_from_this()](const error_code& failure) {
                                    if (failure) {
                                        self->close();
                                        return;
                                    }
-                                   self->forward(0);
-                                   self->forward(1);
+                                   self->forward(instance_end);
+                                   self->forward(1 - instance_end);
                                });
     }
 
+    [[nodiscard]] auto answer_due() const noexcept -> bool { return answer_due_; }
+
+    auto reset() -> void
+    {
+        auto ignored = error_code{};
+        ends_.at(instance_end).set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+        close();
+    }
+
 private:
+    static constexpr auto instance_end = std::size_t{0};
+
     auto forward(std::size_t end) -> void
     {
-        auto& buffer = buffers_.at(end);
         ends_.at(end).async_read_some(
-            boost::asio::buffer(buffer),
+            boost::asio::buffer(buffers_.at(end)),
             [self = shared_from_this(), end](const error_code& failure, std::size_t bytes) {
+                if (failure) {
+                    self->close();
+                } else if (self->owner_->resetting) {
+                    self->reset_later();
+                } else {
+                    self->pass_on(end, bytes);
+                }
+            });
+    }
+
+    auto pass_on(std::size_t end, std::size_t bytes) -> void
+    {
+        answer_due_ = end == instance_end;
+        boost::asio::async_write(
+            ends_.at(1 - end), boost::asio::buffer(buffers_.at(end).data(), bytes),
+            [self = shared_from_this(), end](const error_code& failure, std::size_t) {
                 if (failure) {
                     self->close();
                     return;
                 }
-                boost::asio::async_write(self->ends_.at(1 - end),
-                                         boost::asio::buffer(self->buffers_.at(end).data(), bytes),
-                                         [self, end](const error_code& write_failure, std::size_t) {
-                                             if (write_failure) {
-                                                 self->close();
-                                                 return;
-                                             }
-                                             self->forward(end);
-                                         });
+                self->forward(end);
             });
     }
 
+    auto reset_later() -> void
+    {
+        reset_timer_.expires_after(reset_delay);
+        reset_timer_.async_wait([self = shared_from_this()](const error_code& replaced) {
+            if (!replaced) {
+                self->reset();
+            }
+        });
+    }
+
     auto close() -> void
     {
         auto ignored = error_code{};
@@ -112,10 +150,11 @@
 
     std::array<tcp::socket, 2> ends_;
     std::array<std::array<char, buffer_bytes>, 2> buffers_{};
+    boost::asio::steady_timer reset_timer_;
+    std::shared_ptr<const access> owner_;
+    bool answer_due_ = false;
 };
 
-} // namespace
-
 store_proxy::store_proxy(boost::asio::io_context& loop, const address& where)
     : loop_{&loop}, acceptor_{loop, endpoint_of(where)}
 {
@@ -124,7 +163,28 @@
 
 auto store_proxy::add_instance(const entry_process& process, const address& listener) -> void
 {
-    instances_.emplace_back(&process, listener);
+    instances_.push_back(std::make_shared<access>(access{&process, listener}));
+}
+
+auto store_proxy::set_resetting(std::size_t instance, bool resetting) -> void
+{
+    instances_.at(instance)->resetting = resetting;
+}
+
+auto store_proxy::cut_waiting() -> void
+{
+    for (const auto& one : connections_) {
+        const auto open = one.lock();
+        if (open && open->answer_due()) {
+            open->reset();
+        }
+    }
+}
+
+auto store_proxy::remember(const std::shared_ptr<connection>& added) -> void
+{
+    std::erase_if(connections_, [](const auto& one) { return one.expired(); });
+    connections_.push_back(added);
 }
 
 auto store_proxy::accept() -> void
@@ -145,10 +205,13 @@
         return;
     }
     const auto inode = inode_of(instance_end, acceptor_.local_endpoint());
-    const auto owner = std::find_if(instances_.begin(), instances_.end(),
-                                    [&](const auto& one) { return one.first->owns_socket(inode); });
+    const auto owner = std::find_if(instances_.begin(), instances_.end(), [&](const auto& one) {
+        return one->process->owns_socket(inode);
+    });
     if (owner != instances_.end()) {
-        std::make_shared<proxied_connection>(std::move(from), socket{*loop_})->start(owner->second);
+        const auto added = std::make_shared<connection>(std::move(from), socket{*loop_}, *owner);
+        remember(added);
+        added->start();
     }
 }
 
--- a/tests/soak/store_stand_in.cpp
+++ b/tests/soak/store_stand_in.cpp
@@ -6,6 +6,8 @@
 #include <uriparser/Uri.h>
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -14,6 +16,8 @@
 namespace {
 
 constexpr auto status_ok = 200U;
+/// Number of calls that the store doesn't know.
+constexpr auto never_answered = std::numeric_limits<std::uint64_t>::max();
 
 /// Decodes a part of a query: `+` is a blank and `%` begins the number of a byte.
 auto decode_query(std::string text) -> std::string
@@ -86,9 +90,29 @@
     } else {
         items_[key] = std::move(changed);
     }
+    moments_.emplace_back(timers_->now(), revision_);
+    if (!deaf_from_) {
+        tell_all();
+    }
+}
+
+auto store_stand_in::set_deaf(bool deaf) -> void
+{
+    if (!deaf) {
+        deaf_from_.reset();
+        tell_all();
+    } else if (!deaf_from_) {
+        deaf_from_ = revision_;
+    }
+}
+
+auto store_stand_in::tell_all() -> void
+{
     auto waiting = std::vector<std::uint64_t>{};
     for (const auto& [id, one] : watchers_) {
-        waiting.push_back(id);
+        if (one.after < revision_) {
+            waiting.push_back(id);
+        }
     }
     for (const auto id : waiting) {
         tell(id);
@@ -123,9 +147,11 @@
     ranges_ += 1;
     const auto prefix = query.contains("prefix") ? query.at("prefix") : "";
     const auto after = query.contains("after") ? query.at("after") : "";
+    const auto may_be_old = number_of(query, "staleOk") == 1 && staleness_ > duration::zero();
+    const auto revision = may_be_old ? revision_at(timers_->now() - staleness_) : revision_;
     auto body = nlohmann::json{
-        {"items", nlohmann::json::array()}, {"truncated", false}, {"asOf", revision_}};
-    for (const auto& [key, known] : items_) {
+        {"items", nlohmann::json::array()}, {"truncated", false}, {"asOf", revision}};
+    for (const auto& [key, known] : items_at(revision)) {
         if (!key.starts_with(prefix) || key <= after) {
             continue;
         }
@@ -134,12 +160,41 @@
             break;
         }
         body["items"].push_back({{"key", key},
-                                 {"value", platform::encode_value(known.value)},
-                                 {"revision", known.revision}});
+                                 {"value", platform::encode_value(known->value)},
+                                 {"revision", known->revision}});
     }
     return answer(status_ok, body);
 }
 
+auto store_stand_in::revision_at(time_point moment) const -> std::uint64_t
+{
+    const auto later =
+        std::upper_bound(moments_.begin(), moments_.end(), moment,
+                         [](time_point when, const auto& one) { return when < one.first; });
+    return later == moments_.begin() ? 1 : std::prev(later)->second;
+}
+
+auto store_stand_in::items_at(std::uint64_t revision) const -> read_items
+{
+    auto items = read_items{};
+    if (revision == revision_) {
+        for (const auto& [key, known] : items_) {
+            items.emplace(key, &known);
+        }
+        return items;
+    }
+    const auto end = history_.upper_bound(revision);
+    for (auto change = history_.begin(); change != end; ++change) {
+        const auto& [key, what] = change->second;
+        if (what.deleted) {
+            items.erase(key);
+        } else {
+            items[key] = &what;
+        }
+    }
+    return items;
+}
+
 auto store_stand_in::watch(const std::map<std::string, std::string>& query, responder respond)
     -> std::uint64_t
 {
@@ -148,7 +203,7 @@
         respond(answer(410, nlohmann::json::object()));
         return 0;
     }
-    if (after < revision_) {
+    if (after < told_revision()) {
         respond(events_after(after));
         return 0;
     }
@@ -169,8 +224,11 @@
 
 auto store_stand_in::events_after(std::uint64_t revision) const -> relayed_answer
 {
-    auto body = nlohmann::json{{"events", nlohmann::json::array()}, {"asOf", revision_}};
-    for (auto change = history_.upper_bound(revision); change != history_.end(); ++change) {
+    // A caller may have read, meanwhile, what watches haven't heard of.
+    const auto told = std::max(told_revision(), revision);
+    auto body = nlohmann::json{{"events", nlohmann::json::array()}, {"asOf", told}};
+    const auto end = history_.upper_bound(told);
+    for (auto change = history_.upper_bound(revision); change != end; ++change) {
         const auto& [key, what] = change->second;
         body["events"].push_back({{"key", key},
                                   {"value", platform::encode_value(what.value)},
@@ -198,14 +256,19 @@
 
 auto store_gate::handle(relayed_request request, responder respond) -> std::uint64_t
 {
-    if (!open_) {
+    if (mode_ == gate_mode::refusing) {
         respond(refusal());
         return 0;
     }
-    return store_->handle(std::move(request),
-                          [this, respond = std::move(respond)](relayed_answer answered) {
-                              respond(open_ ? std::move(answered) : refusal());
-                          });
+    if (mode_ == gate_mode::silent) {
+        return never_answered;
+    }
+    return store_->handle(
+        std::move(request), [this, respond = std::move(respond)](relayed_answer answered) {
+            if (mode_ != gate_mode::silent) {
+                respond(mode_ == gate_mode::open ? std::move(answered) : refusal());
+            }
+        });
 }
 
 } // namespace knapweedchute::soak
--- a/tests/soak/store_stand_in.hpp
+++ b/tests/soak/store_stand_in.hpp
@@ -5,7 +5,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace knapweedchute::soak {
 
@@ -38,6 +41,18 @@
 
     auto set_mode(store_mode mode) -> void { mode_ = mode; }
 
+    /// \brief While set, watches hear of no change, though writes are accepted and reads show them.
+    auto set_deaf(bool deaf) -> void;
+
+    /// \brief Whether it treats all its callers worse than a sound store does.
+    [[nodiscard]] auto impaired() const noexcept -> bool
+    {
+        return mode_ != store_mode::up || deaf_from_.has_value();
+    }
+
+    /// \brief Sets how old the answers are to reads that may be old, revision included.
+    auto set_staleness(duration age) -> void { staleness_ = age; }
+
     /// \brief Sets the maximum number of items in a page of a range.
     auto set_page_size(std::size_t items) -> void { page_size_ = items; }
 
@@ -63,6 +78,16 @@
     };
 
     auto change(const std::string& key, item changed) -> void;
+    using read_items = std::map<std::string, const item*>;
+
+    /// Revision up to which watches hear of changes.
+    [[nodiscard]] auto told_revision() const -> std::uint64_t
+    {
+        return deaf_from_.value_or(revision_);
+    }
+    [[nodiscard]] auto revision_at(time_point moment) const -> std::uint64_t;
+    [[nodiscard]] auto items_at(std::uint64_t revision) const -> read_items;
+    auto tell_all() -> void;
     [[nodiscard]] auto range(const std::map<std::string, std::string>& query) -> relayed_answer;
     auto watch(const std::map<std::string, std::string>& query, responder respond) -> std::uint64_t;
     auto transact(const std::string& body) -> relayed_answer;
@@ -77,19 +102,28 @@
     std::map<std::uint64_t, std::pair<std::string, item>> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t history_from_ = 1;
+    std::optional<std::uint64_t> deaf_from_;
+    duration staleness_{};
+    std::vector<std::pair<time_point, std::uint64_t>> moments_; ///< When each revision came.
     std::map<std::uint64_t, watcher> watchers_;
     std::uint64_t next_ = 1;
 };
 
+/// \brief How a gate treats the calls of its instance.
+enum class gate_mode : std::uint8_t
+{
+    open,
+    refusing, ///< Refuses every call, the waiting ones when their answers are due.
+    silent    ///< Answers nothing, neither the waiting calls.
+};
+
 /// \brief One instance's access to the store, which may turn it away while it serves others.
 class store_gate final : public request_handler
 {
 public:
     explicit store_gate(store_stand_in& store) : store_{&store} {}
 
-    /// \brief Whether calls are passed on; a closed gate also refuses the waiting ones when their
-    ///        answers are due.
-    auto set_open(bool open) -> void { open_ = open; }
+    auto set_mode(gate_mode mode) -> void { mode_ = mode; }
 
     auto handle(relayed_request request, responder respond) -> std::uint64_t override;
     auto cancel(std::uint64_t request) -> void override { store_->cancel(request); }
@@ -97,7 +131,7 @@
 
 private:
     store_stand_in* store_;
-    bool open_ = true;
+    gate_mode mode_ = gate_mode::open;
 };
 
 } // namespace knapweedchute::soak
--- a/tests/soak/target_stand_in.cpp
+++ b/tests/soak/target_stand_in.cpp
@@ -7,7 +7,6 @@
 namespace knapweedchute::soak {
 namespace {
 
-constexpr auto usual_time = milliseconds{8};
 constexpr auto slow_time = milliseconds{160};
 constexpr auto records_per_part = 4;
 
@@ -41,7 +40,7 @@
     (*runs_)[request.id] += 1;
     open_[number] = {request.id, std::move(respond)};
     if (mode_ != target_mode::dark) {
-        const auto time = mode_ == target_mode::slow ? slow_time : usual_time;
+        const auto time = mode_ == target_mode::slow ? slow_time : usual_time_;
         timers_->at(timers_->now() + time, [this, number] { finish(number); });
     }
     return number;
--- a/tests/soak/target_stand_in.hpp
+++ b/tests/soak/target_stand_in.hpp
@@ -35,6 +35,9 @@
 
     auto set_mode(target_mode mode) -> void { mode_ = mode; }
 
+    /// \brief Sets how long a request takes, unless the target is slow.
+    auto set_usual_time(milliseconds time) -> void { usual_time_ = time; }
+
     /// \brief When a request arrived last.
     [[nodiscard]] auto last_arrival() const noexcept -> time_point { return last_arrival_; }
 
@@ -61,6 +64,7 @@
     std::string service_;
     run_counts* runs_;
     target_mode mode_ = target_mode::good;
+    milliseconds usual_time_{8};
     std::map<std::uint64_t, open_request> open_;
     std::uint64_t next_ = 1;
     time_point last_arrival_;
