--- a/tests/soak/configuration_probe.cpp
+++ b/tests/soak/configuration_probe.cpp
@@ -21,9 +21,9 @@
 constexpr auto step_back_slack = milliseconds{250};
 /// Removed routes that are still asked for: who is behind runs the latest ones.
 constexpr auto asked_removed = std::size_t{5};
-constexpr auto kinds = std::array{probe_kind::newest,    probe_kind::older, probe_kind::removed,
-                                  probe_kind::never,     probe_kind::relocated,
-                                  probe_kind::split,     probe_kind::timed};
+constexpr auto kinds =
+    std::array{probe_kind::newest,    probe_kind::older, probe_kind::removed, probe_kind::never,
+               probe_kind::relocated, probe_kind::split, probe_kind::timed};
 
 auto milliseconds_between(time_point from, time_point until) -> std::string
 {
@@ -48,8 +48,8 @@
 
 auto to_string(probe_kind kind) -> std::string
 {
-    static constexpr auto names = std::array{"newest",    "older", "removed", "never",
-                                             "relocated", "split", "timed"};
+    static constexpr auto names =
+        std::array{"newest", "older", "removed", "never", "relocated", "split", "timed"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -64,10 +64,10 @@
     case probe_kind::older:
         return added.empty() ? "" : added.at(number % added.size());
     case probe_kind::removed:
-        return removed.empty() ? ""
-                               : *(removed.rbegin() + static_cast<std::ptrdiff_t>(
-                                                          number % std::min(asked_removed,
-                                                                            removed.size())));
+        return removed.empty()
+                   ? ""
+                   : *(removed.rbegin() + static_cast<std::ptrdiff_t>(
+                                              number % std::min(asked_removed, removed.size())));
     case probe_kind::never:
         return "n" + std::to_string(number);
     case probe_kind::relocated:
@@ -119,32 +119,38 @@
     auto& window = window_[{asked.instance, asked.kind}];
     window.asked += 1;
     if (!shows_version(asked, answer)) {
-        count["shows nothing"] += 1;
+        count["shows nothing with " + std::to_string(answer.status)] += 1;
         return;
     }
     const auto newest = allows(history_->newest_allowed(answer.ended), asked, answer);
     window.newest += newest ? 1 : 0;
     window.other += newest ? 0 : 1;
-    check_bound(asked, answer);
+    const auto allowing = newest_allowing(asked, answer);
+    if (!allowing) {
+        // That holds for all instances, in touch or not.
+        fault(asked, answer, "as no version ever allowed");
+        return;
+    }
+    check_bound(*allowing, asked, answer);
     check_order(asked, answer);
 }
 
-auto configuration_judge::check_bound(const probe& asked, const probe_answer& answer) -> void
+auto configuration_judge::newest_allowing(const probe& asked, const probe_answer& answer) const
+    -> std::optional<std::size_t>
 {
-    const auto oldest = history_->oldest_allowed(asked.sent);
-    const auto newest = history_->newest_allowed(answer.ended);
-    for (auto position = oldest; position <= newest; ++position) {
-        if (allows(position, asked, answer)) {
-            return;
+    for (auto count = history_->newest_allowed(answer.ended) + 1; count > 0; --count) {
+        if (allows(count - 1, asked, answer)) {
+            return count - 1;
         }
     }
-    auto allowing = newest + 1;
-    while (allowing > 0 && !allows(allowing - 1, asked, answer)) {
-        --allowing;
-    }
-    if (allowing == 0) {
-        // That holds for all instances, in touch or not.
-        fault(asked, answer, "as no version ever allowed");
+    return std::nullopt;
+}
+
+auto configuration_judge::check_bound(std::size_t allowing, const probe& asked,
+                                      const probe_answer& answer) -> void
+{
+    const auto oldest = history_->oldest_allowed(asked.sent);
+    if (allowing >= oldest) {
         return;
     }
     if (!asked.in_touch) {
@@ -153,7 +159,7 @@
     }
     const auto& due = history_->versions().at(oldest);
     fault(asked, answer,
-          "as only version " + std::to_string(history_->versions().at(allowing - 1).number) +
+          "as only version " + std::to_string(history_->versions().at(allowing).number) +
               " or older allows, " + milliseconds_between(*due.acknowledged, asked.sent) +
               " after the ack of version " + std::to_string(due.number));
 }
--- a/tests/soak/configuration_probe.hpp
+++ b/tests/soak/configuration_probe.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -84,7 +85,7 @@
     ///        allows, since the window began; no version may be sent in it.
     auto expect_newest(std::size_t instances, const std::string& when) -> void;
 
-    /// \brief What was asked, in touch or not, and how often it showed a version.
+    /// \brief What was asked, in touch or not, and how often it showed no version.
     [[nodiscard]] auto summary() const -> std::string;
 
 private:
@@ -99,7 +100,10 @@
                               const probe_answer& answer) const -> bool;
     /// Whether an answer shows anything of the version in force.
     [[nodiscard]] auto shows_version(const probe& asked, const probe_answer& answer) const -> bool;
-    auto check_bound(const probe& asked, const probe_answer& answer) -> void;
+    /// Newest version, as a position, that allows an answer.
+    [[nodiscard]] auto newest_allowing(const probe& asked, const probe_answer& answer) const
+        -> std::optional<std::size_t>;
+    auto check_bound(std::size_t allowing, const probe& asked, const probe_answer& answer) -> void;
     auto check_order(const probe& asked, const probe_answer& answer) -> void;
     auto fault(const probe& asked, const probe_answer& answer, const std::string& what) -> void;
 
--- a/tests/soak/soak_probes.cpp
+++ b/tests/soak/soak_probes.cpp
@@ -18,10 +18,10 @@
 constexpr auto timed_call_timeout = milliseconds{4'000};
 constexpr auto usual_entries = std::size_t{4};
 constexpr auto pulse_interval = milliseconds{20};
-const auto quick_kinds = std::vector<probe_kind>{
-    probe_kind::newest, probe_kind::relocated, probe_kind::removed, probe_kind::newest,
-    probe_kind::older,  probe_kind::split,     probe_kind::removed, probe_kind::relocated,
-    probe_kind::never};
+const auto quick_kinds =
+    std::vector<probe_kind>{probe_kind::newest,  probe_kind::relocated, probe_kind::removed,
+                            probe_kind::newest,  probe_kind::older,     probe_kind::split,
+                            probe_kind::removed, probe_kind::relocated, probe_kind::never};
 
 /// Finds the service whose records a body is.
 auto service_of(const std::string& body, const std::string& id) -> std::string
@@ -46,8 +46,7 @@
         add_target(service, "b", "v1");
         add_target(service, "c", "v1");
     }
-    const auto lasting =
-        std::clamp(options_.entries, least_lasting_targets, most_lasting_targets);
+    const auto lasting = std::clamp(options_.entries, least_lasting_targets, most_lasting_targets);
     for (auto index = std::size_t{0}; index < lasting; ++index) {
         add_target(configuration_history::lasting_service, index % 2 == 0 ? "b" : "c", "v1")
             .target->set_usual_time(lasting_time);
@@ -59,7 +58,8 @@
     const auto add = [this](std::size_t instance, std::vector<probe_kind> kinds, bool keeps) {
         auto client = std::make_unique<call_client>(loop_, timers_, caller_addresses_.at(instance));
         probe_callers_.push_back({std::move(client), std::move(kinds), instance, 0, keeps});
-        later(probe_pause, [this, index = probe_callers_.size() - 1] { probe_configuration(index); });
+        later(probe_pause,
+              [this, index = probe_callers_.size() - 1] { probe_configuration(index); });
     };
     for (auto instance = std::size_t{0}; instance < entries_.size(); ++instance) {
         add(instance, quick_kinds, true);
@@ -94,9 +94,9 @@
         return;
     }
     const auto timed = kind == probe_kind::timed;
-    const auto text = "GET /" + asked.route + "/x HTTP/1.1\r\nHost: soak\r\nRequest-Id: " +
-                      asked.id + "\r\nDeadline-Ms: " +
-                      std::to_string(timed ? timed_waits_ms : probe_waits_ms) + "\r\n\r\n";
+    const auto text =
+        "GET /" + asked.route + "/x HTTP/1.1\r\nHost: soak\r\nRequest-Id: " + asked.id +
+        "\r\nDeadline-Ms: " + std::to_string(timed ? timed_waits_ms : probe_waits_ms) + "\r\n\r\n";
     if (!from.keeps_connection) {
         from.client->renew_connection();
     }
