--- a/tests/soak/soak_calm.cpp
+++ b/tests/soak/soak_calm.cpp
@@ -162,6 +162,8 @@
 
 auto soak_world::take_zone_out() -> void
 {
+    // No other version follows for long: an instance that misses this one shows it.
+    change_configuration();
     store_.put("op/evacuate/a", "{}");
     pass(evacuation_bound);
     const auto since = timers_.now();
@@ -181,6 +183,7 @@
     const auto bad = options_.seed % 2 == 1;
     const auto first_new = targets_.size();
     const auto before = arrivals_between(0, first_new);
+    change_configuration();
     store_.put(
         "op/rollout/m",
         nlohmann::json{{"service", "m"}, {"targetVersion", "v2"}, {"durationS", move_length_s}}
