Test: followers miss a change that their reader got with a list

What is guarded: a reader whose first list came in pages of different revisions (stale pages, a change between two pages) holds a change beyond the revision that it goes on from. The watch repeats it, the listener finds nothing new in it, and it is left out of what followers are told, while their revision moves past it.

--- a/tests/unit/feed/feed_test.cpp
+++ b/tests/unit/feed/feed_test.cpp
@@ -447,6 +447,32 @@
     BOOST_TEST(!cache.changes_after(2).has_value());
 }
 
+// A change that a list of several pages held already was passed over by followers of its reader.
+BOOST_AUTO_TEST_CASE(cache_whose_state_holds_later_changes_returns_them_to_followers)
+{
+    auto cache = feed_cache{};
+    cache.reset({{"a", event("a", 3)}, {"b", event("b", 8)}}, 5);
+    cache.apply({{}, 9});
+    const auto expected = std::vector{event("b", 8)};
+    BOOST_TEST((cache.changes_after(6)->events == expected));
+    cache.reset({{"a", event("a", 14)}, {"b", event("b", 8)}}, 11);
+    cache.apply({{}, 15});
+    BOOST_TEST((cache.changes_after(12)->events == std::vector{event("a", 14)}));
+}
+
+BOOST_AUTO_TEST_CASE(feed_change_that_came_with_a_list_of_several_pages_is_forwarded_to_peers)
+{
+    constexpr auto before_last_page = std::chrono::microseconds{1'500};
+    timers.at(timers.now() + before_last_page,
+              [this] { store.apply_change(event("servers/c", 20)); });
+    start();
+    timers.advance(seconds{5});
+    BOOST_REQUIRE(subscriber->cache_for_peers() != nullptr);
+    const auto page = subscriber->cache_for_peers()->changes_after(19);
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->events.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(feed_without_contact_to_the_store_is_not_passed_on_to_peers)
 {
     start();
