A change that came with a list is told to followers

What callers may see: a follower, or an instance that the store turns away for a moment, goes on without a change of a target until the next one of the same target, and without any line in the log. Configurations and orders were not affected: the listener of the platform always takes them for new. Cause: feed_cache kept no changes of a state read in full beyond its revision and counted on the watch that repeats them; feed_subscriber drops what its listener knows from that state already. Change: such changes are retained with the state. Measured: feed_suite 26 of 26; without the change three checks of two tests fail.

--- a/src/feed/feed_cache.cpp
+++ b/src/feed/feed_cache.cpp
@@ -14,6 +14,14 @@
         newest_changes_.clear();
         history_start_ = revision;
     }
+    // A state read in several pages holds changes after the revision up to which it is complete.
+    // The source repeats them, but the listener finds nothing new in them then.
+    for (const auto& [key, event] : items) {
+        if (event.revision > revision) {
+            retain(event.revision, event);
+        }
+    }
+    drop_oldest_changes();
     revision_ = revision;
     const auto previous = std::exchange(items_, std::move(items));
     return previous != items_;
