Schedules of restarts, refusals and dropped histories, judged by what instances claim

What the search before didn't draw: restarts with a stale first read, refusals that begin at a change or end by a closed connection, resets and silence of a share of the links at one moment, a history dropped at any point, watches cut after a deaf second, members that are listed but dead, held up answers before a silent connection, storms, fleets of 7 and of 10 to 13.

--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -74,6 +74,23 @@
     /// \brief Drops the history so far; watches from before are not told that it is gone.
     auto forget() -> void { forgotten = revision; }
 
+    /// \brief Returns the items as they were at a revision.
+    [[nodiscard]] auto items_at(std::uint64_t then) const -> std::map<std::string, feed_event>
+    {
+        if (then >= revision) {
+            return items;
+        }
+        auto known = std::map<std::string, feed_event>{};
+        for (const auto& change : changes) {
+            if (change.revision <= then && change.deleted) {
+                known.erase(change.key);
+            } else if (change.revision <= then) {
+                known[change.key] = change;
+            }
+        }
+        return known;
+    }
+
     auto remove(const std::string& key) -> void
     {
         revision += 1;
@@ -103,18 +120,24 @@
     {
     }
 
-    auto read(const std::string& prefix, const std::string& /*after*/, bool /*allow_stale*/,
+    auto read(const std::string& prefix, const std::string& /*after*/, bool allow_stale,
               listener done) -> void override
     {
+        auto call = feed_call::start(*instance_, seconds{1}, std::move(done));
+        if (refused && refuses_reads) {
+            answer(call, failed_reply(refusal), refusal_time);
+            return;
+        }
         auto reply = feed_reply{feed_read_status::done, {}};
-        reply.page.revision = contents_->revision;
-        reply.stated_revision = contents_->revision;
-        for (const auto& [key, item] : contents_->items) {
+        reply.page.revision =
+            allow_stale && stale_revision ? stale_revision() : contents_->revision;
+        reply.stated_revision = reply.page.revision;
+        for (const auto& [key, item] : contents_->items_at(reply.page.revision)) {
             if (key.starts_with(prefix)) {
                 reply.page.events.push_back(item);
             }
         }
-        answer(feed_call::start(*instance_, seconds{1}, std::move(done)), reply);
+        answer(call, reply, read_time);
     }
 
     auto renew_connections() -> void override
@@ -128,7 +151,7 @@
         auto call = feed_call::start(*instance_, wait + timeout_margin, std::move(done));
         waiting_ = call;
         if (refused) {
-            answer(call, failed_reply(feed_failure::refused));
+            answer(call, failed_reply(refusal), refusal_time);
         } else if (!cut && silent_connections == 0) {
             poll(call, after, network_->now() + wait);
         }
@@ -146,7 +169,7 @@
     {
         refused = true;
         if (const auto waiting = waiting_.lock()) {
-            answer(waiting, failed_reply(feed_failure::refused));
+            answer(waiting, failed_reply(refusal), refusal_time);
         }
     }
 
@@ -154,8 +177,16 @@
     bool refused = false; ///< The store answers that it does not serve this instance.
     /// Connections, the kept one and those opened next, that are silent.
     std::size_t silent_connections = 0;
-    duration held_up{0};              ///< Time for which answers are held up on their way.
-    std::size_t calls = 0;            ///< Watches begun.
+    duration held_up{0};        ///< Time for which answers are held up on their way.
+    std::size_t calls = 0;      ///< Watches begun.
+    bool refuses_reads = false; ///< Whether a refusal holds for reads, too.
+    feed_failure refusal = feed_failure::refused; ///< How a refused call ends.
+    duration refusal_time = answer_time;          ///< Time after which a refused call ends.
+    duration read_time = answer_time;             ///< Time that the answer of a read takes.
+    std::size_t max_events = 0; ///< Events in an answer of a watch at most; 0: any number.
+    bool states_cuts = true;    ///< Whether an answer tells that others follow.
+    /// Revision of a read that may be stale; nothing if such reads are current.
+    std::function<std::uint64_t()> stale_revision;
     std::set<std::uint64_t> left_out; ///< Revisions of changes that no watch tells.
 
 private:
@@ -184,6 +215,11 @@
         if (reply.page.events.empty()) {
             reply.page.revision = after;
         }
+        if (max_events > 0 && reply.page.events.size() > max_events) {
+            reply.page.events.resize(max_events);
+            reply.page.revision = reply.page.events.back().revision;
+            reply.page.truncated = states_cuts;
+        }
         if (!reply.page.events.empty() || network_->now() >= end) {
             answer(call, reply);
             return;
@@ -195,9 +231,10 @@
         });
     }
 
-    auto answer(const std::shared_ptr<feed_call>& call, const feed_reply& reply) -> void
+    auto answer(const std::shared_ptr<feed_call>& call, const feed_reply& reply,
+                duration time = answer_time) -> void
     {
-        network_->at(network_->now() + answer_time + held_up, [this, call, reply] {
+        network_->at(network_->now() + time + held_up, [this, call, reply] {
             if (!cut && silent_connections == 0) {
                 instance_->at(network_->now(), [call, reply] { call->finish(reply); });
             }
@@ -319,7 +356,7 @@
                          [this, &fleet] { return known.empty() ? fleet.members : known; },
                          self,
                          *this,
-                         "op/",
+                         fleet.fresh_prefix,
                          fleet.limits,
                          [&fleet] { return fleet.timers.now().time_since_epoch(); }}
         {
@@ -431,7 +468,9 @@
     std::function<bool(std::size_t from, std::size_t to)> reachable = [](auto, auto) {
         return true;
     };
-    feed_limits limits;               ///< Limits of all instances.
+    feed_limits limits; ///< Limits of all instances.
+    std::string fresh_prefix =
+        "op/"; ///< Keys that instances that start from now on read without delay.
     duration peer_answers_held_up{0}; ///< Time for which answers of peers are held up.
     manual_timer_queue timers;
     store_contents contents;
