An answer with changes proves what its call had begun with, not its arrival

Cause: an answer's arrival counted as the time up to which everything is known, unless it came after the wait of its call; only proved ages counted from the call. Change: an answer with changes counts from its call, in all fleets. The delay before the next watch ends before peers would be turned away for the greater age. age_ms in the log and the metrics grows by the time that the call had waited.

--- a/src/feed/feed_subscriber.cpp
+++ b/src/feed/feed_subscriber.cpp
@@ -245,7 +245,10 @@
         return;
     }
     const auto at_once = catching_up_ || (empty && !caught_up);
-    schedule_after(at_once ? duration::zero() : duration{batching_delay}, &feed_subscriber::watch);
+    // The next answer is here before peers are turned away.
+    const auto delay = std::clamp<duration>(serving_time_left() - limits_.answer_time(),
+                                            duration::zero(), batching_delay);
+    schedule_after(at_once ? duration::zero() : delay, &feed_subscriber::watch);
 }
 
 auto feed_subscriber::apply(const feed_page& page) -> void
@@ -479,11 +482,10 @@
     if (limits_.proved()) {
         return;
     }
-    // An answer may have been held up, by a pause of this process for example; then it proves only
-    // what it says of the latest moment at which the source can have sent it.
+    // An answer may have been held up on its way or by a pause of this process. One with changes
+    // was sent at some time after the call, one without them when the wait was over.
     const auto latest = call_began_at_ + call_wait_;
-    const auto held_up = uptime_() > latest;
-    const auto proved_at = held_up ? (page.events.empty() ? latest : call_began_at_) : uptime_();
+    const auto proved_at = page.events.empty() ? std::min(uptime_(), latest) : call_began_at_;
     up_to_date_at_ = proved_at - milliseconds{page.age_ms};
 }
 
