--- /dev/null
+++ b/src/feed/untold_changes.cpp
@@ -0,0 +1,116 @@
+// Member functions of feed_subscriber that find what the store's watches leave out.
+#include <knapweedchute/core/log.hpp>
+#include <knapweedchute/feed/feed_subscriber.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace knapweedchute {
+namespace {
+
+/// Time until a full read that brought nothing is repeated, as the store may count revisions that
+/// no change has; doubles up to the second value.
+constexpr auto min_untold_read_interval = seconds{2};
+constexpr auto max_untold_read_interval = seconds{60};
+/// Follows every key that instances use.
+constexpr auto after_last_key = std::string_view{"~"};
+const auto log_line = logger{"feed"};
+
+/// Whether revisions are missing between the changes of all keys.
+auto has_gap(const std::vector<feed_event>& changes, std::uint64_t revision) -> bool
+{
+    return std::any_of(changes.begin(), changes.end(), [&revision](const auto& change) {
+        const auto missing = change.revision > revision + 1;
+        revision = std::max(revision, change.revision);
+        return missing;
+    });
+}
+
+} // namespace
+
+auto feed_subscriber::compare_revision() -> void
+{
+    // A page behind the last key states the revision and costs next to nothing; after a disruption
+    // a stale one could hide for seconds what was lost in it.
+    const auto allow_stale = !has_recent_disruption();
+    comparing_ = true;
+    store_->read(fresh_prefix_, fresh_prefix_ + std::string{after_last_key}, allow_stale,
+                 [this](const auto& reply) {
+                     if (reply.status == feed_read_status::done) {
+                         on_stated_revision(reply.page.revision);
+                     }
+                     watch_after_comparison();
+                 });
+    // A silent connection must not add to the time that a lost watch takes.
+    schedule_after(limits_.answer_time(), &feed_subscriber::watch_after_comparison);
+}
+
+auto feed_subscriber::on_stated_revision(std::uint64_t revision) -> void
+{
+    stated_revision_ = std::max(stated_revision_, revision);
+    // A late answer: the watch that has begun meanwhile may wait in vain.
+    if (!comparing_ && watching_ && !followed_peer_ && lacks_changes()) {
+        watching_again_ = true;
+        store_->abort_watch();
+    }
+}
+
+auto feed_subscriber::watch_after_comparison() -> void
+{
+    if (std::exchange(comparing_, false)) {
+        schedule_after(duration::zero(), &feed_subscriber::watch);
+    }
+}
+
+auto feed_subscriber::finds_gap(const feed_reply& reply) -> bool
+{
+    stated_revision_ = std::max(stated_revision_, reply.stated_revision);
+    const auto& events = reply.page.events;
+    return events.empty() ? lacks_changes()
+                          : may_read_untold() && has_gap(events, cache_.revision());
+}
+
+auto feed_subscriber::lacks_changes() const -> bool
+{
+    return may_read_untold() && stated_revision_ > cache_.revision();
+}
+
+auto feed_subscriber::may_read_untold() const -> bool
+{
+    return timers_->now() >= next_untold_read_;
+}
+
+auto feed_subscriber::left_out_change(const feed_page& page) -> bool
+{
+    const auto told =
+        std::any_of(page.events.begin(), page.events.end(),
+                    [this](const auto& event) { return event.key.starts_with(fresh_prefix_); });
+    // A peer that lacks the change suspects its own source.
+    return std::exchange(suspected_, false) && !told && !followed_peer_;
+}
+
+auto feed_subscriber::read_untold_changes(const feed_page& told) -> void
+{
+    // What was told is in use at once; peers are told all differences once everything is read.
+    for (const auto& event : told.events) {
+        std::ignore = notify_listener(event);
+    }
+    log_line.warning("Changes not told.", {{"revision", std::to_string(cache_.revision())},
+                                           {"stated", std::to_string(stated_revision_)},
+                                           {"age_ms", age_text()}});
+    reading_untold_ = true;
+    must_read_current_ = true;
+    read_all();
+}
+
+auto feed_subscriber::schedule_next_untold_read(bool brought_changes) -> void
+{
+    untold_read_interval_ =
+        brought_changes ? duration::zero()
+                        : std::clamp<duration>(untold_read_interval_ * 2, min_untold_read_interval,
+                                               max_untold_read_interval);
+    next_untold_read_ = timers_->now() + untold_read_interval_;
+}
+
+} // namespace knapweedchute
