--- a/include/knapweedchute/entry/cluster_view.hpp
+++ b/include/knapweedchute/entry/cluster_view.hpp
@@ -18,9 +18,8 @@
     {
     }
 
-    /// \brief Replaces the active route table if `table` has a higher version, or the same one and
-    /// a
-    ///        higher revision.
+    /// \brief Replaces the active route table by a newer one.
+    /// \detail One with a higher version is newer, or with the same version and a higher revision.
     /// \param revision Revision of the store at which the table was written.
     /// \param now      Time at which the table becomes active.
     /// \returns Whether the table was replaced.
--- a/include/knapweedchute/feed/feed_subscriber.hpp
+++ b/include/knapweedchute/feed/feed_subscriber.hpp
@@ -21,7 +21,7 @@
 /// \detail Reads all keys once, then follows their changes. After an outage it resumes from its
 ///         last revision; if the changes since then are no longer available, it reads all keys
 ///         again. Meanwhile the copy stays in use. That a watch tells nothing is no proof that
-///         nothing has changed: the store's own revision is compared each time.
+///         nothing has changed: the store's own revision, which may be stale, is compared.
 class feed_subscriber
 {
 public:
@@ -168,11 +168,11 @@
     bool catching_up_ = false; ///< Whether watches follow each other until one tells nothing.
     std::optional<duration> proved_before_watch_; ///< `up_to_date_at_` before the latest watch.
     bool comparison_outstanding_ = false;         ///< Whether a comparison has no answer yet.
-    bool comparing_ = false;           ///< Whether the next watch waits for that revision.
+    bool comparing_ = false;           ///< Whether the next watch waits for a comparison.
     bool watching_again_ = false;      ///< Whether the watch is ended to begin another at once.
-    bool reading_untold_ = false;      ///< Whether the full read in progress is for such changes.
-    time_point next_untold_read_;      ///< Earliest start of the next one.
-    duration untold_read_interval_{0}; ///< Time between two that brought nothing.
+    bool reading_untold_ = false;      ///< Whether a full read for untold changes is due.
+    time_point next_untold_read_;      ///< Earliest start of the next such read.
+    duration untold_read_interval_{0}; ///< Least time between two such reads.
     bool suspected_ = false; ///< Whether peers know of a change that no answer has told since.
 };
 
--- a/src/feed/untold_changes.cpp
+++ b/src/feed/untold_changes.cpp
@@ -37,8 +37,8 @@
 
 auto feed_subscriber::compare_revision() -> void
 {
-    // A page behind the last key states the revision and costs next to nothing; after a disruption
-    // a stale one could hide for seconds what was lost in it.
+    // A stale page behind the last key states the revision at a low price; after a disruption it
+    // could hide for seconds what was lost.
     const auto allow_stale = !has_recent_disruption();
     if (std::exchange(comparison_outstanding_, true)) {
         schedule_after(duration::zero(), &feed_subscriber::watch);
